Failures of servers, store and processes, through the real programs

Cause: the path ran, but nothing had yet gone wrong on purpose. An innocent request was answered 502 after an engine had died: the pooled connection was already closed, the library wrote on it all the same, and the loss counted as a crash under that request. Ruled out: closing all idle connections when a poll fails (leaves a window, drops healthy ones). An edit failed with "outcome unknown" when the answer of a read was lost. A second process with the settings of a running one waited for the data folder's lock and named the wrong thing. Change: addresses are tried first. 4. A caller's client asked for another order of instances each time, so a trainer opened its step on two of them. Change: one id for each client.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+# Targets: build, test, lint, demo, soak, bench, generate.
+BIN := bin
+STEPS ?= 100000
+SEED ?= 1
+UNFORMATTED = $(shell go tool gofumpt -l cmd internal pkg)
+
+.PHONY: all build test lint demo soak bench generate clean
+
+all: build
+
+build:
+	go build -o $(BIN)/ ./cmd/...
+
+lint:
+	@test -z "$(UNFORMATTED)" || { echo "gofumpt differs: $(UNFORMATTED)"; exit 1; }
+	go vet ./...
+	go tool staticcheck ./...
+
+test: lint build
+	go test -race -count=1 ./...
+
+demo: build
+	bash scripts/demo.sh
+
+soak:
+	SOAK_STEPS=$(STEPS) SOAK_SEED=$(SEED) go test -count=1 -timeout 0 -run 'Soak' -v ./internal/...
+
+bench:
+	go test -run '^$$' -bench . -benchmem ./...
+
+generate:
+	protoc --go_out=. --go_opt=module=cactusspoke --go-grpc_out=. --go-grpc_opt=module=cactusspoke \
+		--plugin=protoc-gen-go=$(BIN)/protoc-gen-go --plugin=protoc-gen-go-grpc=$(BIN)/protoc-gen-go-grpc \
+		internal/peer/peerpb/peer.proto
+
+clean:
+	rm -rf $(BIN)
--- /dev/null
+++ b/internal/forward/forwarder.go
@@ -0,0 +1,498 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cactusspoke/internal/admission"
+	"cactusspoke/internal/backendserver"
+	"cactusspoke/internal/claim"
+	"cactusspoke/internal/configuration"
+	"cactusspoke/internal/failure"
+	"cactusspoke/internal/fleet"
+	"cactusspoke/internal/invariant"
+	"cactusspoke/internal/logs"
+	"cactusspoke/internal/profile"
+	"cactusspoke/internal/quarantine"
+	"cactusspoke/internal/routing"
+	"cactusspoke/internal/trace"
+	"cactusspoke/internal/usage"
+
+	"github.com/cespare/xxhash/v2"
+	"go.opentelemetry.io/otel/attribute"
+	"go.uber.org/zap"
+)
+
+// Limits of tries.
+const (
+	maxAttempts   = 4
+	retryShare    = 0.1
+	retryBurst    = 10.0
+	pumpPeriod    = 50 * time.Millisecond
+	suspectPeriod = 20 * time.Millisecond
+	claimTimeout  = 2 * time.Second
+)
+
+// Claimer decides claims wherever their range is owned, and gives one back.
+type Claimer interface {
+	Claim(ctx context.Context, c claim.Claim) claim.Result
+	Release(ctx context.Context, c claim.Claim)
+}
+
+type gate = admission.Gate[fleet.Server, *call]
+
+// Forwarder runs requests. It is safe for several goroutines.
+type Forwarder struct {
+	prefix   string
+	view     *configuration.View
+	fleet    *fleet.Fleet
+	backends *backendserver.Client
+	claimer  Claimer
+	suspects *quarantine.List
+	ledger   *usage.Ledger
+	answers  *Answers
+	tracer   *trace.Tracer
+	log      *zap.Logger
+	trusted  func(now time.Time) bool
+
+	sequence atomic.Uint64
+	running  atomic.Int64
+
+	mu       sync.Mutex
+	services map[string]*service
+}
+
+// service is what the forwarder keeps for one service.
+type service struct {
+	gate *gate
+
+	mu      sync.Mutex
+	routing string
+	policy  routing.Policy[fleet.Server]
+	retries float64
+}
+
+// Parts are what a forwarder works with.
+type Parts struct {
+	View     *configuration.View
+	Fleet    *fleet.Fleet
+	Backends *backendserver.Client
+	Claimer  Claimer
+	Suspects *quarantine.List
+	Ledger   *usage.Ledger
+	Answers  *Answers
+	Tracer   *trace.Tracer
+	Log      *zap.Logger
+	// Trusted tells whether the view of the configuration may be relied on.
+	Trusted func(now time.Time) bool
+}
+
+// NewForwarder returns a forwarder. incarnation makes its request ids unique.
+func NewForwarder(incarnation string, p Parts) *Forwarder {
+	return &Forwarder{
+		prefix: incarnation, view: p.View, fleet: p.Fleet, backends: p.Backends, claimer: p.Claimer,
+		suspects: p.Suspects, ledger: p.Ledger, answers: p.Answers, tracer: p.Tracer, log: p.Log,
+		trusted: p.Trusted, services: map[string]*service{},
+	}
+}
+
+// Running returns how many requests are under way.
+func (f *Forwarder) Running() int64 { return f.running.Load() }
+
+// Pump grants waiting requests after capacity became free.
+func (f *Forwarder) Pump() {
+	f.mu.Lock()
+	gates := make([]*gate, 0, len(f.services))
+	for _, s := range f.services {
+		gates = append(gates, s.gate)
+	}
+	f.mu.Unlock()
+	for _, g := range gates {
+		g.Pump()
+	}
+}
+
+// Waiting returns how many requests wait in all queues.
+func (f *Forwarder) Waiting() map[string]int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := make(map[string]int, len(f.services))
+	for name, s := range f.services {
+		out[name] = s.gate.Waiting()
+	}
+	return out
+}
+
+func (f *Forwarder) serviceOf(p *profile.Profile, s *profile.Service) *service {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	v, ok := f.services[s.Name()]
+	if !ok {
+		v = &service{retries: retryBurst}
+		v.gate = admission.NewGate(p.QueueLength(), f.chooser(v, s.Name()))
+		f.services[s.Name()] = v
+	}
+	v.setPolicy(p.Routing())
+	return v
+}
+
+func (s *service) setPolicy(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.routing == name {
+		return
+	}
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	if policy, ok := routing.New[fleet.Server](name, random); ok {
+		s.policy = policy
+		s.routing = name
+	}
+}
+
+// spendRetry takes one retry from the budget, which is a share of successes.
+func (s *service) spendRetry() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.retries < 1 {
+		return false
+	}
+	s.retries--
+	return true
+}
+
+func (s *service) earnRetry() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.retries = min(retryBurst, s.retries+retryShare)
+}
+
+// chooser picks a server with room for the next waiting call and reserves it.
+func (f *Forwarder) chooser(s *service, name string) admission.Chooser[fleet.Server, *call] {
+	return func(now time.Time, c *call) (fleet.Server, bool) {
+		var free []fleet.Server
+		for _, server := range f.fleet.Servers(now, name, c.request.service.Slots()) {
+			if server.Free() && c.accepts(server) {
+				free = append(free, server)
+			}
+		}
+		s.mu.Lock()
+		server, ok := s.policy.Choose(c.request.work, free)
+		s.mu.Unlock()
+		if !ok || !f.fleet.Begin(now, server.ID()) {
+			return fleet.Server{}, false
+		}
+		return server, true
+	}
+}
+
+// call is one request under way.
+type call struct {
+	life    life
+	request *Request
+	service *service
+	sink    Sink
+	fp      quarantine.Fingerprint
+	alone   bool
+	avoid   []string
+	claim   claim.Claim
+	claimed bool
+	begun   bool
+	tokens  uint64
+	prompt  uint64
+	entry   *usage.Entry
+	attempt int
+	id      string
+}
+
+// Picky tells whether the call may find no room where others do.
+func (c *call) Picky() bool { return len(c.avoid) > 0 || c.request.minVersion > 0 }
+
+func (c *call) accepts(s fleet.Server) bool {
+	if s.WeightVersion() < c.request.minVersion {
+		return false
+	}
+	for _, id := range c.avoid {
+		if id == s.ID() {
+			return false
+		}
+	}
+	return true
+}
+
+// Do runs a request and gives its answer to the sink. The error's kind tells
+// truthfully whether the request ran. Once the sink was begun, an error means
+// that the answer is truncated.
+func (f *Forwarder) Do(ctx context.Context, r *Request, sink Sink) error {
+	f.running.Add(1)
+	defer f.running.Add(-1)
+	c := &call{request: r, sink: sink, life: life{state: Received}}
+	c.id = fmt.Sprintf("%s-%d", f.prefix, f.sequence.Add(1))
+	c.entry = f.ledger.Open(r.CustomerName(), r.service.Name())
+	ctx, cancel := context.WithTimeout(f.detached(ctx, r), r.profile.Deadline())
+	defer cancel()
+	err := f.run(ctx, c)
+	if err != nil {
+		c.entry.Refuse(failure.KindOf(err).String())
+	}
+	return err
+}
+
+// detached keeps a claimed request running when its caller leaves, so that
+// the answer is there when the caller sends it again.
+func (f *Forwarder) detached(ctx context.Context, r *Request) context.Context {
+	if r.claimed() {
+		return context.WithoutCancel(ctx)
+	}
+	return ctx
+}
+
+func (f *Forwarder) run(ctx context.Context, c *call) error {
+	c.service = f.serviceOf(c.request.profile, c.request.service)
+	c.fp = quarantine.Of(c.request.service.Name(), c.request.route, c.request.body)
+	if err := f.screen(ctx, c); err != nil {
+		c.life.step(ctx, refuse)
+		return err
+	}
+	if c.alone {
+		defer f.suspects.Done(c.request.service.Name(), c.fp)
+	}
+	c.life.step(ctx, enqueue)
+	for {
+		c.attempt++
+		again, err := f.try(ctx, c)
+		if !again {
+			return err
+		}
+	}
+}
+
+// screen refuses what may not run and lets suspects in one at a time.
+func (f *Forwarder) screen(ctx context.Context, c *call) error {
+	for {
+		switch f.suspects.Judge(time.Now(), c.fp) {
+		case quarantine.Clear:
+			return nil
+		case quarantine.Refuse:
+			return failure.New(failure.Quarantined, "backend servers crashed each time this request ran")
+		case quarantine.Alone:
+			if f.suspects.TryRun(c.request.service.Name(), c.fp) {
+				c.alone = true
+				return nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return failure.New(failure.QueueTimeout, "another suspect request is running")
+		case <-time.After(suspectPeriod):
+		}
+	}
+}
+
+// try makes one attempt and tells whether to make another.
+func (f *Forwarder) try(ctx context.Context, c *call) (again bool, err error) {
+	spanCtx, span := f.tracer.Start(ctx, "queue")
+	ticket := admission.NewTicket(c.request.CustomerName(), c.request.weight(), c.request.cost,
+		c.request.priority, time.Now().Add(c.request.profile.QueueWait()))
+	server, err := c.service.gate.Enter(spanCtx, ticket, c)
+	span.End()
+	if err != nil {
+		return false, f.stop(ctx, c, err)
+	}
+	c.life.step(ctx, reserve)
+	if err := f.admit(ctx, c); err != nil {
+		f.fleet.End(time.Now(), server.ID(), fleet.Neutral)
+		return false, f.stop(ctx, c, err)
+	}
+	err = f.attemptAt(ctx, c, server)
+	c.service.gate.Correct(ticket, max(float64(c.tokens+c.prompt), 1))
+	return f.after(ctx, c, server, err)
+}
+
+// stop ends a call that waits or is reserved. An earlier try that may have
+// run turns any refusal into a failure of unknown outcome.
+func (f *Forwarder) stop(ctx context.Context, c *call, err error) error {
+	if c.life.mayHaveRun() {
+		c.life.step(ctx, fail)
+		return failure.New(failure.BackendFailed, "an earlier try failed, then: %s", failure.Message(err))
+	}
+	f.release(c)
+	c.life.step(ctx, refuse)
+	return err
+}
+
+// admit repeats the checks that may have changed while the call waited, and
+// claims a request that must run at most once.
+func (f *Forwarder) admit(ctx context.Context, c *call) error {
+	if err := f.Permitted(c.request); err != nil {
+		return err
+	}
+	if !c.request.claimed() || c.claimed {
+		return nil
+	}
+	return f.claim(ctx, c)
+}
+
+// Permitted tells whether the request's key is still good.
+func (f *Forwarder) Permitted(r *Request) error {
+	if r.customer == nil {
+		return nil
+	}
+	if !f.trusted(time.Now()) {
+		return failure.New(failure.CutOff, "this instance cannot tell whether keys were withdrawn")
+	}
+	customer, known, allowed := f.view.Allowed(r.digest)
+	if !known || !allowed {
+		return failure.New(failure.KeyWithdrawn, "the key was withdrawn")
+	}
+	invariant.Check(invariant.CustomerIsolation, customer.Name() == r.customer.Name(),
+		"key of %s on a request of %s", customer.Name(), r.customer.Name())
+	return nil
+}
+
+func (f *Forwarder) claim(ctx context.Context, c *call) error {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	id := claim.NewID(c.request.CustomerName(), c.request.service.Name(), c.request.idempotencyKey)
+	body := xxhash.Sum64String(c.request.method + c.request.uri + string(c.request.body))
+	c.claim = claim.New(id, body, c.id, f.prefix)
+	result := f.claimer.Claim(ctx, c.claim)
+	switch result.Outcome() {
+	case claim.Granted:
+		c.claimed = true
+		return nil
+	case claim.Taken:
+		return &AlreadyRunError{id: id, instance: result.Instance()}
+	case claim.Mismatch:
+		return failure.New(failure.KeyReused, "the idempotency key was used for another request")
+	default:
+		return failure.New(failure.StoreUnavailable, "the claim could not be stored")
+	}
+}
+
+// release gives the claim of a request back that certainly did not run.
+func (f *Forwarder) release(c *call) {
+	if !c.claimed {
+		return
+	}
+	invariant.Check(invariant.AtMostOnce, !c.life.mayHaveRun(), "claim of a request that may have run is released")
+	c.claimed = false
+	ctx, cancel := context.WithTimeout(context.Background(), claimTimeout)
+	defer cancel()
+	f.claimer.Release(ctx, c.claim)
+}
+
+// attemptAt sends the request to one server and passes its answer on.
+func (f *Forwarder) attemptAt(ctx context.Context, c *call, server fleet.Server) error {
+	ctx, span := f.tracer.Start(ctx, "attempt")
+	defer span.End()
+	span.SetAttributes(attribute.String("backend.server", server.ID()), attribute.Int("attempt", c.attempt))
+	invariant.Check(invariant.AtMostOnce, c.request.idempotent || !c.life.mayHaveRun(),
+		"non-idempotent request %s would run again", c.id)
+	c.life.step(ctx, dispatch)
+	id := fmt.Sprintf("%s-%d", c.id, c.attempt)
+	priority := "live"
+	if c.request.priority == admission.Rollout {
+		priority = "rollout"
+	}
+	answer, err := f.backends.Send(ctx, server, backendserver.NewAttempt(id, c.request.method, c.request.uri,
+		c.request.contentType, c.request.headers, c.request.body, priority, f.tracer.Inject(ctx), c.request.secret))
+	if err != nil {
+		return err
+	}
+	if answer.EventStream() {
+		return f.relay(ctx, c, answer)
+	}
+	return f.whole(ctx, c, answer)
+}
+
+// after settles an attempt and tells whether to make another.
+func (f *Forwarder) after(ctx context.Context, c *call, server fleet.Server, err error) (again bool, final error) {
+	if err == nil {
+		f.fleet.End(time.Now(), server.ID(), fleet.Served)
+		f.suspects.Completed(c.fp)
+		c.service.earnRetry()
+		return false, nil
+	}
+	var sent *backendserver.Error
+	if !errors.As(err, &sent) {
+		f.fleet.End(time.Now(), server.ID(), fleet.Neutral)
+		c.life.step(ctx, fail)
+		return false, err
+	}
+	f.blame(ctx, c, server, sent)
+	if sent.Ran() == failure.RanNo {
+		c.life.step(ctx, proveNot)
+	}
+	if f.mayRetry(ctx, c, server) {
+		if sent.Ran() != failure.RanNo {
+			c.life.step(ctx, retry)
+		}
+		return true, nil
+	}
+	return false, f.conclude(ctx, c, sent)
+}
+
+// blame judges the server and, after a crash, the request.
+func (f *Forwarder) blame(ctx context.Context, c *call, server fleet.Server, sent *backendserver.Error) {
+	outcome := fleet.Unhealthy
+	if ctx.Err() != nil && !sent.Lost() {
+		outcome = fleet.Neutral
+	}
+	f.fleet.End(time.Now(), server.ID(), outcome)
+	if sent.Lost() {
+		f.suspects.Crashed(time.Now(), c.fp)
+	}
+	f.log.Info("forward: attempt failed", zap.String("request", c.id), zap.String("server", server.ID()),
+		zap.Stringer("ran", sent.Ran()), logs.Err(sent))
+}
+
+// mayRetry tells whether another try is safe and within the budgets. A
+// request that was running in a crash is tried again only by its caller, so
+// that it is screened as a suspect first.
+func (f *Forwarder) mayRetry(ctx context.Context, c *call, server fleet.Server) bool {
+	if c.begun || ctx.Err() != nil || c.attempt >= maxAttempts {
+		return false
+	}
+	if c.life.mayHaveRun() && !c.request.idempotent {
+		return false
+	}
+	if c.alone && c.life.mayHaveRun() {
+		return false
+	}
+	if f.suspects.Judge(time.Now(), c.fp) != quarantine.Clear && !c.alone {
+		if !f.suspects.TryRun(c.request.service.Name(), c.fp) {
+			return false
+		}
+		c.alone = true
+	}
+	if !c.service.spendRetry() {
+		return false
+	}
+	c.avoid = append(c.avoid, server.ID())
+	return true
+}
+
+// conclude turns the last attempt's end into the answer for the caller.
+func (f *Forwarder) conclude(ctx context.Context, c *call, sent *backendserver.Error) error {
+	if !c.life.mayHaveRun() {
+		f.release(c)
+		c.life.step(ctx, refuse)
+		return failure.Wrap(failure.BackendRefused, &backendserver.Class, sent)
+	}
+	c.life.step(ctx, fail)
+	switch {
+	case c.begun:
+		return failure.Wrap(failure.Truncated, &backendserver.Class, sent)
+	case errors.Is(ctx.Err(), context.Canceled):
+		return failure.New(failure.CallerGone, "the caller left")
+	case sent.Timeout():
+		return failure.Wrap(failure.BackendTimeout, &backendserver.Class, sent)
+	default:
+		return failure.Wrap(failure.BackendFailed, &backendserver.Class, sent)
+	}
+}
--- /dev/null
+++ b/internal/instance/instance.go
@@ -0,0 +1,391 @@
+// Package instance puts one entry instance together and runs it.
+package instance
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"cactusspoke/internal/backendserver"
+	"cactusspoke/internal/caller"
+	"cactusspoke/internal/claim"
+	"cactusspoke/internal/configuration"
+	"cactusspoke/internal/duty"
+	"cactusspoke/internal/fleet"
+	"cactusspoke/internal/forward"
+	"cactusspoke/internal/invariant"
+	"cactusspoke/internal/keeper"
+	"cactusspoke/internal/logs"
+	"cactusspoke/internal/operator"
+	"cactusspoke/internal/peer"
+	"cactusspoke/internal/platform"
+	"cactusspoke/internal/quarantine"
+	"cactusspoke/internal/rollout"
+	"cactusspoke/internal/settings"
+	"cactusspoke/internal/step"
+	"cactusspoke/internal/store"
+	"cactusspoke/internal/supervisor"
+	"cactusspoke/internal/timer"
+	"cactusspoke/internal/trace"
+	"cactusspoke/internal/usage"
+	"cactusspoke/internal/web"
+
+	"github.com/google/uuid"
+	"github.com/rcrowley/go-metrics"
+	"github.com/zeebo/errs"
+	"go.uber.org/zap"
+)
+
+// Class prefixes the errors of this package.
+var Class = errs.Class("instance")
+
+// Periods of the parts.
+const (
+	listPeriod     = time.Second
+	pollPeriod     = 250 * time.Millisecond
+	pumpPeriod     = 20 * time.Millisecond
+	trimPeriod     = 10 * time.Second
+	drainPoll      = 20 * time.Millisecond
+	observers      = 2
+	configWatchers = 2
+	busyRequests   = 512
+)
+
+// Instance is one entry instance.
+type Instance struct {
+	settings    *settings.Settings
+	log         *zap.Logger
+	incarnation string
+	registry    metrics.Registry
+	tracer      *trace.Tracer
+	timers      *timer.Service
+
+	store     store.Client
+	platform  *platform.Client
+	backends  *backendserver.Client
+	clients   *peer.Clients
+	members   *peer.Members
+	view      *configuration.View
+	fleet     *fleet.Fleet
+	suspects  *quarantine.List
+	committer *claim.Committer
+	ledger    *usage.Ledger
+	answers   *forward.Answers
+	forwarder *forward.Forwarder
+	mesh      *peer.Mesh
+	bodies    *keeper.Keeper
+	driver    *rollout.Driver
+	duties    []*duty.Runner
+
+	peerServer     *peer.Server
+	callerServer   *caller.Server
+	operatorServer *operator.Server
+
+	drainOnce sync.Once
+	drain     chan struct{}
+}
+
+// New returns an instance that is ready to run. Work that outlives a request
+// ends with ctx.
+func New(ctx context.Context, s *settings.Settings, log *zap.Logger) (*Instance, error) {
+	i := &Instance{
+		settings: s, log: log, incarnation: s.Instance() + "-" + uuid.NewString()[:8],
+		registry: metrics.NewRegistry(), timers: timer.New(), drain: make(chan struct{}),
+	}
+	invariant.SetHandler(func(id invariant.ID, message string) {
+		log.Error("invariant: violated", zap.Stringer("invariant", id), zap.String("message", message))
+	})
+	if err := checkAddresses(s); err != nil {
+		return nil, err
+	}
+	if err := i.buildPeers(); err != nil {
+		return nil, err
+	}
+	i.buildState()
+	i.buildRequests()
+	i.buildRollouts(ctx)
+	i.buildDuties()
+	i.buildServers()
+	return i, nil
+}
+
+func (i *Instance) buildPeers() error {
+	tracer, err := trace.New(i.settings.TraceFile(), i.settings.Instance())
+	if err != nil {
+		return err
+	}
+	i.tracer = tracer
+	control, err := web.NewClient(0)
+	if err != nil {
+		return err
+	}
+	data, err := web.NewClient(0)
+	if err != nil {
+		return err
+	}
+	http := store.NewHTTP(control, i.settings.StoreAddress(), i.settings.StoreTimeout())
+	i.store = store.NewGuard(store.NewBudget(http, i.settings.StoreCalls()))
+	i.platform = platform.New(control)
+	i.backends = backendserver.New(data)
+	i.clients = peer.NewClients()
+	return i.openData()
+}
+
+// openData opens the data folder after trying to write to it.
+func (i *Instance) openData() error {
+	folder := i.settings.DataFolder()
+	if folder == "" {
+		return nil
+	}
+	if err := os.MkdirAll(folder, 0o700); err != nil {
+		return Class.New("data.folder cannot be made: %w", err)
+	}
+	probe := filepath.Join(folder, ".probe")
+	if err := os.WriteFile(probe, []byte("probe"), 0o600); err != nil {
+		return Class.New("data.folder cannot be written: %w", err)
+	}
+	if err := os.Remove(probe); err != nil {
+		return Class.Wrap(err)
+	}
+	bodies, err := keeper.Open(folder)
+	i.bodies = bodies
+	return err
+}
+
+func (i *Instance) buildState() {
+	self := peer.NewMember(i.settings.Instance(), i.incarnation, i.settings.FailureDomain(),
+		i.settings.PeersAddress(), i.settings.CallersAddress(), i.bodies != nil)
+	i.members = peer.NewMembers(self)
+	i.view = configuration.NewView(func() { i.mesh.Push() })
+	i.fleet = fleet.New(func() { i.forwarder.Pump() })
+	i.suspects = quarantine.New()
+	i.committer = claim.NewCommitter(i.store, i.settings.ResendWindow())
+	i.ledger = usage.NewLedger(i.settings.UsageWindow())
+	i.answers = forward.NewAnswers()
+	i.mesh = peer.NewMesh(i.members, i.view, i.fleet, i.suspects, i.clients, i.timers, i.registry, i.log, i.load)
+}
+
+func (i *Instance) load() float64 {
+	return min(1, float64(i.forwarder.Running())/busyRequests)
+}
+
+func (i *Instance) buildRequests() {
+	i.forwarder = forward.NewForwarder(i.incarnation, forward.Parts{
+		View: i.view, Fleet: i.fleet, Backends: i.backends, Claimer: &claimer{i}, Suspects: i.suspects,
+		Ledger: i.ledger, Answers: i.answers, Tracer: i.tracer, Log: i.log, Trusted: i.trusted,
+	})
+}
+
+// trusted tells whether this instance may rely on its view of the keys.
+func (i *Instance) trusted(now time.Time) bool {
+	age, seen := i.view.Age(now)
+	if !seen {
+		return false
+	}
+	standing := peer.Stand(age, i.members.Self(), i.members.Others(now), now)
+	return standing != peer.CutOff
+}
+
+func (i *Instance) buildRollouts(ctx context.Context) {
+	i.driver = rollout.NewDriver(ctx, i.forwarder, step.NewRegistry(i.store), i.members, i.clients,
+		i.newestVersion, i.registry, i.log)
+}
+
+// newestVersion is the newest weight version that an engine of a service runs.
+func (i *Instance) newestVersion(service string) int64 {
+	newest := int64(0)
+	for _, s := range i.fleet.Servers(time.Now(), service, 1) {
+		newest = max(newest, s.WeightVersion())
+	}
+	return newest
+}
+
+func (i *Instance) buildServers() {
+	var bodies peer.Bodies
+	if i.bodies != nil {
+		bodies = i.bodies
+	}
+	i.peerServer = peer.NewServer(i.settings.PeersAddress(), i.members.Self(), i.mesh, i.committer, bodies, i.ledger, i.answers)
+	i.callerServer = caller.NewServer(i.settings.CallersAddress(), caller.Parts{
+		Secret: i.settings.DigestSecret(), View: i.view, Forwarder: i.forwarder, Driver: i.driver, Members: i.members,
+		Clients: i.clients, Answers: i.answers, Ledger: i.ledger, Tracer: i.tracer, Registry: i.registry,
+		Log: i.log, KeepTime: i.settings.KeepTime(),
+	})
+	i.operatorServer = operator.NewServer(i.settings.OperatorsAddress(), operator.Parts{
+		View: i.view, Members: i.members, Fleet: i.fleet, Forwarder: i.forwarder, Driver: i.driver, Ledger: i.ledger,
+		Duties: i.duties, Registry: i.registry, Drain: i.Drain,
+	})
+}
+
+// Drain begins the graceful shutdown.
+func (i *Instance) Drain() { i.drainOnce.Do(func() { close(i.drain) }) }
+
+// Run serves until the context ends or Drain is called, then shuts down
+// without cutting a request off.
+func (i *Instance) Run(ctx context.Context) error {
+	serving, stop := context.WithCancel(context.Background())
+	defer stop()
+	ended := make(chan error, 1)
+	go func() { ended <- i.tree().Serve(serving) }()
+	i.log.Info("instance: running", zap.String("instance", i.settings.Instance()),
+		zap.String("callers", i.settings.CallersAddress()))
+	select {
+	case <-ctx.Done():
+	case <-i.drain:
+	case err := <-ended:
+		return Class.Wrap(err)
+	}
+	i.shutDown()
+	stop()
+	<-ended
+	return i.close()
+}
+
+// checkAddresses makes sure that the addresses to serve at are free, before
+// anything else is touched.
+func checkAddresses(s *settings.Settings) error {
+	for _, a := range []struct{ path, address string }{
+		{"callers.address", s.CallersAddress()},
+		{"peers.address", s.PeersAddress()},
+		{"operators.address", s.OperatorsAddress()},
+	} {
+		l, err := net.Listen("tcp", a.address)
+		if err != nil {
+			return Class.New("%s is not free: %w", a.path, err)
+		}
+		if err := l.Close(); err != nil {
+			return Class.Wrap(err)
+		}
+	}
+	return nil
+}
+
+// shutDown tells the others, serves on while callers may still hold our
+// address, then refuses new requests and waits for the running ones.
+func (i *Instance) shutDown() {
+	i.log.Info("instance: draining")
+	i.members.SetDraining()
+	i.mesh.Push()
+	time.Sleep(i.settings.KeepTime())
+	i.callerServer.Refuse()
+	deadline := time.Now().Add(i.settings.DrainWait())
+	for time.Now().Before(deadline) && i.busy() {
+		time.Sleep(drainPoll)
+	}
+	invariant.Check(invariant.GracefulShutdown, !i.busy(), "%d requests are cut off by the shutdown", i.callerServer.Active())
+	i.log.Info("instance: stopped serving", zap.Int64("cut-off", i.callerServer.Active()))
+}
+
+func (i *Instance) busy() bool {
+	return i.callerServer.Active() > 0 || i.driver.Running() > 0 || i.forwarder.Running() > 0
+}
+
+func (i *Instance) close() error {
+	i.clients.Close()
+	i.tracer.Close(context.Background())
+	if i.bodies == nil {
+		return nil
+	}
+	return i.bodies.Close()
+}
+
+func (i *Instance) tree() *supervisor.Tree {
+	root := supervisor.New("instance", i.log)
+	root.Add(i.peerTree())
+	root.Add(i.platformTree())
+	root.Add(i.requestTree())
+	root.Add(i.dutyTree())
+	return root
+}
+
+func (i *Instance) peerTree() *supervisor.Tree {
+	t := supervisor.New("peers", i.log)
+	t.Go("peer-server", i.peerServer.Serve)
+	t.Go("peer-exchange", i.mesh.RunExchange)
+	t.Go("peer-push", i.mesh.RunPush)
+	return t
+}
+
+func (i *Instance) platformTree() *supervisor.Tree {
+	t := supervisor.New("platform", i.log)
+	chosen := func(now time.Time) bool { return i.members.InFirst(now, "configuration", configWatchers) }
+	t.Go("configuration-watcher", configuration.NewWatcher(i.view, i.store, chosen, i.log).Run)
+	t.Go("instance-list", func(ctx context.Context) error {
+		i.readInstances(ctx)
+		return i.timers.Subscribe(ctx, listPeriod, 0.2, func(time.Time) { i.readInstances(ctx) })
+	})
+	t.Go("load-poll", func(ctx context.Context) error {
+		return i.timers.Subscribe(ctx, pollPeriod, 0.2, func(now time.Time) { i.pollLoads(ctx, now) })
+	})
+	return t
+}
+
+func (i *Instance) requestTree() *supervisor.Tree {
+	t := supervisor.New("requests", i.log)
+	t.Go("caller-server", i.callerServer.Serve)
+	t.Go("operator-server", i.operatorServer.Serve)
+	t.Go("admission-pump", func(ctx context.Context) error {
+		return i.timers.Subscribe(ctx, pumpPeriod, 0, func(time.Time) { i.forwarder.Pump() })
+	})
+	for number := range claim.Ranges {
+		t.Go(fmt.Sprintf("claim-range-%d", number), func(ctx context.Context) error {
+			return i.committer.Run(ctx, number)
+		})
+	}
+	t.Go("claim-trim", func(ctx context.Context) error {
+		return i.timers.Subscribe(ctx, trimPeriod, 0.2, func(now time.Time) { i.trimClaims(ctx, now) })
+	})
+	return t
+}
+
+func (i *Instance) trimClaims(ctx context.Context, now time.Time) {
+	ctx, cancel := context.WithTimeout(ctx, trimPeriod/2)
+	defer cancel()
+	i.committer.Trim(ctx, now)
+}
+
+func (i *Instance) dutyTree() *supervisor.Tree {
+	t := supervisor.New("duties", i.log)
+	for _, d := range i.duties {
+		t.Go("duty-keep-"+d.Name(), d.RunKeep)
+		t.Go("duty-act-"+d.Name(), d.RunAct)
+	}
+	return t
+}
+
+// readInstances takes in the platform's list. While it cannot be read, the
+// last list stands.
+func (i *Instance) readInstances(ctx context.Context) {
+	list, err := i.platform.Instances(ctx, i.settings.InstancesAddress())
+	if err != nil {
+		if !errors.Is(err, context.Canceled) {
+			i.log.Debug("instance: list not read", logs.Err(err))
+		}
+		return
+	}
+	now := time.Now()
+	i.members.List(list)
+	i.fleet.List(now, list)
+}
+
+// pollLoads reads the load of the backend servers that this instance watches.
+func (i *Instance) pollLoads(ctx context.Context, now time.Time) {
+	var group sync.WaitGroup
+	for _, s := range i.fleet.Listed(now) {
+		if !i.members.InFirst(now, "load/"+s.ID(), observers) {
+			continue
+		}
+		group.Go(func() {
+			load, err := i.backends.Load(ctx, s)
+			if err == nil {
+				i.fleet.Report(time.Now(), load)
+			}
+		})
+	}
+	group.Wait()
+}
--- /dev/null
+++ b/internal/operator/server.go
@@ -0,0 +1,234 @@
+// Package operator speaks to operators over HTTP: metrics, status, direct
+// withdrawals and draining.
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"cactusspoke/internal/configuration"
+	"cactusspoke/internal/duty"
+	"cactusspoke/internal/failure"
+	"cactusspoke/internal/fleet"
+	"cactusspoke/internal/forward"
+	"cactusspoke/internal/invariant"
+	"cactusspoke/internal/peer"
+	"cactusspoke/internal/rollout"
+	"cactusspoke/internal/usage"
+	"cactusspoke/internal/web"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/rcrowley/go-metrics"
+)
+
+// Paths of the operators' interface.
+const (
+	PathMetrics     = "/metrics"
+	PathStatus      = "/v1/status"
+	PathSuspensions = "/v1/suspensions"
+	PathDrain       = "/v1/drain"
+	PathAccount     = "/v1/account"
+)
+
+// Limits of the server.
+const (
+	maxBodyBytes = 1 << 20
+	exitWait     = time.Second
+)
+
+// Server answers operators.
+type Server struct {
+	http      *web.Server
+	view      *configuration.View
+	members   *peer.Members
+	fleet     *fleet.Fleet
+	forwarder *forward.Forwarder
+	driver    *rollout.Driver
+	ledger    *usage.Ledger
+	duties    []*duty.Runner
+	registry  metrics.Registry
+	drain     func()
+}
+
+// Parts are what a server works with.
+type Parts struct {
+	View      *configuration.View
+	Members   *peer.Members
+	Fleet     *fleet.Fleet
+	Forwarder *forward.Forwarder
+	Driver    *rollout.Driver
+	Ledger    *usage.Ledger
+	Duties    []*duty.Runner
+	Registry  metrics.Registry
+	// Drain begins the shutdown of this instance.
+	Drain func()
+}
+
+// NewServer returns a server on an IP address and port.
+func NewServer(address string, p Parts) *Server {
+	s := &Server{
+		http: web.NewServer(address, maxBodyBytes, exitWait), view: p.View, members: p.Members, fleet: p.Fleet,
+		forwarder: p.Forwarder, driver: p.Driver, ledger: p.Ledger, duties: p.Duties, registry: p.Registry, drain: p.Drain,
+	}
+	s.http.Handle("GET", PathMetrics, s.metrics)
+	s.http.Handle("GET", PathStatus, s.status)
+	s.http.Handle("GET", PathAccount, s.account)
+	s.http.Handle("POST", PathSuspensions, s.suspend)
+	s.http.Handle("POST", PathDrain, s.startDrain)
+	return s
+}
+
+// Serve runs until the context ends.
+func (s *Server) Serve(ctx context.Context) error { return s.http.Serve(ctx) }
+
+func (s *Server) metrics(_ context.Context, c *app.RequestContext) {
+	for _, count := range invariant.Counts() {
+		metrics.GetOrRegisterGauge("invariant-checks-"+count.ID().String(), s.registry).Update(int64(count.Checks()))
+		metrics.GetOrRegisterGauge("invariant-violations-"+count.ID().String(), s.registry).Update(int64(count.Violations()))
+	}
+	var out bytes.Buffer
+	metrics.WriteJSONOnce(s.registry, &out)
+	c.Data(200, "application/json", out.Bytes())
+}
+
+// WireMember is an instance in the status.
+type WireMember struct {
+	Name          string `json:"name"`
+	FailureDomain string `json:"failure-domain"`
+	Draining      bool   `json:"draining,omitempty"`
+	Keeper        bool   `json:"keeper,omitempty"`
+}
+
+// WireServer is a backend server in the status.
+type WireServer struct {
+	Name          string  `json:"name"`
+	Service       string  `json:"service"`
+	FailureDomain string  `json:"failure-domain"`
+	WeightVersion int64   `json:"weight-version"`
+	Estimate      float64 `json:"estimate"`
+	Slots         int     `json:"slots"`
+	Leaving       bool    `json:"leaving,omitempty"`
+}
+
+// WireDuty is a duty in the status.
+type WireDuty struct {
+	Name    string `json:"name"`
+	Holding bool   `json:"holding"`
+	Holder  string `json:"holder"`
+	Epoch   uint64 `json:"epoch,omitempty"`
+}
+
+// WireStatus is the status of an instance.
+type WireStatus struct {
+	Instance   string            `json:"instance"`
+	Revision   uint64            `json:"configuration-revision"`
+	AgeMS      int64             `json:"configuration-age-ms"`
+	Rejected   []string          `json:"rejected-records,omitempty"`
+	Running    int64             `json:"running"`
+	Waiting    map[string]int    `json:"waiting"`
+	OpenSteps  int               `json:"open-steps"`
+	Members    []WireMember      `json:"members"`
+	Servers    []WireServer      `json:"backend-servers"`
+	Duties     []WireDuty        `json:"duties"`
+	Violations map[string]uint64 `json:"violations"`
+}
+
+func (s *Server) status(_ context.Context, c *app.RequestContext) {
+	now := time.Now()
+	age, seen := s.view.Age(now)
+	wire := WireStatus{
+		Instance: s.members.Self().Name(), Revision: uint64(s.view.Current().Revision()), AgeMS: age.Milliseconds(),
+		Rejected: s.view.Rejected(), Running: s.forwarder.Running(), Waiting: s.forwarder.Waiting(),
+		OpenSteps:  s.driver.Running(),
+		Violations: map[string]uint64{},
+	}
+	if !seen {
+		wire.AgeMS = -1
+	}
+	for _, m := range s.members.Alive(now) {
+		wire.Members = append(wire.Members, WireMember{m.Name(), m.FailureDomain(), m.Draining(), m.Keeper()})
+	}
+	for _, b := range s.fleet.Listed(now) {
+		wire.Servers = append(wire.Servers, WireServer{b.ID(), b.Service(), b.FailureDomain(), b.WeightVersion(), b.Estimate(), b.Slots(), b.Leaving()})
+	}
+	for _, d := range s.duties {
+		epoch, holding := d.Holding(now)
+		wire.Duties = append(wire.Duties, WireDuty{d.Name(), holding, d.Holder(), epoch})
+	}
+	for _, count := range invariant.Counts() {
+		if count.Violations() > 0 {
+			wire.Violations[count.ID().String()] = count.Violations()
+		}
+	}
+	reply(c, 200, wire)
+}
+
+// WireSuspensions are digests to deny at once.
+type WireSuspensions struct {
+	Digests []string `json:"digests"`
+}
+
+// suspend denies keys at once and spreads the denial, without the store.
+func (s *Server) suspend(_ context.Context, c *app.RequestContext) {
+	var wire WireSuspensions
+	if err := json.Unmarshal(c.Request.Body(), &wire); err != nil || len(wire.Digests) == 0 {
+		reply(c, 400, WireProblem{failure.BadRequest.String(), "digests: must be present"})
+		return
+	}
+	s.view.Suspend(wire.Digests)
+	reply(c, 200, wire)
+}
+
+// WireProblem is an error towards operators.
+type WireProblem struct {
+	Kind    string `json:"kind"`
+	Message string `json:"message"`
+}
+
+func (s *Server) startDrain(_ context.Context, c *app.RequestContext) {
+	s.drain()
+	reply(c, 202, WireProblem{"draining", "this instance is shutting down"})
+}
+
+// WireFigure is one figure of the account.
+type WireFigure struct {
+	Customer string `json:"customer"`
+	Service  string `json:"service"`
+	Kind     string `json:"kind"`
+	Value    uint64 `json:"value"`
+}
+
+// WireAccount is this instance's account of one window.
+type WireAccount struct {
+	Window  uint64       `json:"window"`
+	Figures []WireFigure `json:"figures"`
+}
+
+// account tells this instance's figures of a window; none means the present.
+func (s *Server) account(_ context.Context, c *app.RequestContext) {
+	window := s.ledger.Window(time.Now())
+	if text := c.Query("window"); text != "" {
+		number, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			reply(c, 400, WireProblem{failure.BadRequest.String(), "window: must be a number"})
+			return
+		}
+		window = number
+	}
+	wire := WireAccount{Window: window, Figures: []WireFigure{}}
+	for _, f := range s.ledger.Counters(window) {
+		wire.Figures = append(wire.Figures, WireFigure{f.Customer(), f.Service(), f.Kind(), f.Value()})
+	}
+	reply(c, 200, wire)
+}
+
+func reply(c *app.RequestContext, status int, v any) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	c.Data(status, "application/json", data)
+}
--- /dev/null
+++ b/internal/peer/client.go
@@ -0,0 +1,182 @@
+package peer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"cactusspoke/internal/claim"
+	"cactusspoke/internal/peer/peerpb"
+
+	"github.com/zeebo/errs"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+)
+
+// Class prefixes the errors of this package.
+var Class = errs.Class("peer")
+
+// maxMessageBytes is the largest message between instances.
+const maxMessageBytes = 32 << 20
+
+// Bounds on one call.
+const (
+	callTimeout = time.Second
+	bulkTimeout = 10 * time.Second
+)
+
+// Clients holds one connection to each peer.
+type Clients struct {
+	mu    sync.Mutex
+	conns map[string]*grpc.ClientConn
+}
+
+// NewClients returns an empty set of connections.
+func NewClients() *Clients { return &Clients{conns: map[string]*grpc.ClientConn{}} }
+
+// Get returns the client of the peer at an IP address and port.
+func (c *Clients) Get(address string) (peerpb.PeerClient, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if conn, ok := c.conns[address]; ok {
+		return peerpb.NewPeerClient(conn), nil
+	}
+	conn, err := grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithDisableServiceConfig(),
+		grpc.WithDisableRetry(),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes), grpc.MaxCallSendMsgSize(maxMessageBytes)),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: 10 * time.Second, Timeout: 2 * time.Second}),
+	)
+	if err != nil {
+		return nil, Class.Wrap(err)
+	}
+	c.conns[address] = conn
+	return peerpb.NewPeerClient(conn), nil
+}
+
+// Close ends all connections.
+func (c *Clients) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, conn := range c.conns {
+		_ = conn.Close()
+		delete(c.conns, address)
+	}
+}
+
+// Claim asks the peer that owns a range to commit a claim.
+func (c *Clients) Claim(ctx context.Context, address string, cl claim.Claim) (claim.Result, error) {
+	client, err := c.Get(address)
+	if err != nil {
+		return claim.Result{}, err
+	}
+	id := cl.ID()
+	reply, err := client.Claim(ctx, &peerpb.ClaimRequest{
+		Id: id[:], Body: cl.Body(), Nonce: cl.Nonce(), Instance: cl.Instance(),
+	})
+	if err != nil {
+		return claim.Result{}, Class.Wrap(err)
+	}
+	return claim.NewResult(outcomes.decode(reply.GetOutcome()), reply.GetInstance()), nil
+}
+
+type outcomeTable []struct {
+	outcome claim.Outcome
+	wire    peerpb.ClaimReply_Outcome
+}
+
+var outcomes = outcomeTable{
+	{claim.Granted, peerpb.ClaimReply_OUTCOME_GRANTED},
+	{claim.Taken, peerpb.ClaimReply_OUTCOME_TAKEN},
+	{claim.Mismatch, peerpb.ClaimReply_OUTCOME_MISMATCH},
+	{claim.Unavailable, peerpb.ClaimReply_OUTCOME_UNAVAILABLE},
+}
+
+func (t outcomeTable) decode(w peerpb.ClaimReply_Outcome) claim.Outcome {
+	for _, row := range t {
+		if row.wire == w {
+			return row.outcome
+		}
+	}
+	return claim.Unavailable
+}
+
+func (t outcomeTable) encode(o claim.Outcome) peerpb.ClaimReply_Outcome {
+	for _, row := range t {
+		if row.outcome == o {
+			return row.wire
+		}
+	}
+	return peerpb.ClaimReply_OUTCOME_UNAVAILABLE
+}
+
+// PutSamples stores the bodies of a step's samples on a peer's disk.
+func (c *Clients) PutSamples(ctx context.Context, address, step string, bodies map[string][]byte) error {
+	client, err := c.Get(address)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, bulkTimeout)
+	defer cancel()
+	request := &peerpb.PutSamplesRequest{Step: step}
+	for id, body := range bodies {
+		request.Samples = append(request.Samples, &peerpb.Sample{Id: id, Body: body})
+	}
+	_, err = client.PutSamples(ctx, request)
+	return Class.Wrap(err)
+}
+
+// GetSamples reads the bodies of a step's samples from a peer's disk.
+func (c *Clients) GetSamples(ctx context.Context, address, step string, ids []string) (map[string][]byte, error) {
+	client, err := c.Get(address)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, bulkTimeout)
+	defer cancel()
+	reply, err := client.GetSamples(ctx, &peerpb.GetSamplesRequest{Step: step, Ids: ids})
+	if err != nil {
+		return nil, Class.Wrap(err)
+	}
+	bodies := map[string][]byte{}
+	for _, s := range reply.GetSamples() {
+		bodies[s.GetId()] = s.GetBody()
+	}
+	return bodies, nil
+}
+
+// Usage reads a peer's usage figures of one window.
+func (c *Clients) Usage(ctx context.Context, address string, window uint64) ([]Counter, error) {
+	client, err := c.Get(address)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	reply, err := client.Usage(ctx, &peerpb.UsageRequest{Window: window})
+	if err != nil {
+		return nil, Class.Wrap(err)
+	}
+	var counters []Counter
+	for _, w := range reply.GetCounters() {
+		counters = append(counters, NewCounter(w.GetCustomer(), w.GetService(), w.GetKind(), w.GetValue()))
+	}
+	return counters, nil
+}
+
+// StoredAnswer reads the stored answer of a claimed request from a peer.
+func (c *Clients) StoredAnswer(ctx context.Context, address string, id claim.ID) (status int, contentType string, body []byte, found bool) {
+	client, err := c.Get(address)
+	if err != nil {
+		return 0, "", nil, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	reply, err := client.Answer(ctx, &peerpb.AnswerRequest{Id: id[:]})
+	if err != nil {
+		return 0, "", nil, false
+	}
+	return int(reply.GetStatus()), reply.GetContentType(), reply.GetBody(), reply.GetFound()
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,211 @@
+// Package settings reads and checks the JSON settings of one instance.
+package settings
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/zeebo/errs"
+)
+
+// Class prefixes the errors of this package.
+var Class = errs.Class("settings")
+
+// Settings are the checked settings of one instance.
+type Settings struct {
+	instance         string
+	region           string
+	failureDomain    string
+	callersAddress   string
+	peersAddress     string
+	operatorsAddress string
+	storeAddress     string
+	storeTimeout     time.Duration
+	storeCalls       float64
+	instancesAddress string
+	ordersAddress    string
+	usageAddress     string
+	weightsAddress   string
+	digestSecret     []byte
+	dataFolder       string
+	leaseTTL         time.Duration
+	leaseMargin      time.Duration
+	usageWindow      time.Duration
+	keepTime         time.Duration
+	drainWait        time.Duration
+	logLevel         string
+	traceFile        string
+	resendWindow     time.Duration
+	orderPeriod      time.Duration
+	maxServers       int
+}
+
+// Instance returns the instance's name.
+func (s *Settings) Instance() string { return s.instance }
+
+// Region returns the region the instance runs in.
+func (s *Settings) Region() string { return s.region }
+
+// FailureDomain returns the failure domain the instance runs in.
+func (s *Settings) FailureDomain() string { return s.failureDomain }
+
+// CallersAddress returns the address that serves callers and trainers.
+func (s *Settings) CallersAddress() string { return s.callersAddress }
+
+// PeersAddress returns the address that serves other instances.
+func (s *Settings) PeersAddress() string { return s.peersAddress }
+
+// OperatorsAddress returns the address that serves operators.
+func (s *Settings) OperatorsAddress() string { return s.operatorsAddress }
+
+// StoreAddress returns the key-value service's address.
+func (s *Settings) StoreAddress() string { return s.storeAddress }
+
+// StoreTimeout returns the longest wait for one call to the store.
+func (s *Settings) StoreTimeout() time.Duration { return s.storeTimeout }
+
+// StoreCalls returns this instance's budget of store calls a second.
+func (s *Settings) StoreCalls() float64 { return s.storeCalls }
+
+// InstancesAddress returns the address of the platform's instance list.
+func (s *Settings) InstancesAddress() string { return s.instancesAddress }
+
+// OrdersAddress returns the address of the platform's order interface.
+func (s *Settings) OrdersAddress() string { return s.ordersAddress }
+
+// UsageAddress returns the address of the platform's usage interface.
+func (s *Settings) UsageAddress() string { return s.usageAddress }
+
+// WeightsAddress returns the address of the weight store.
+func (s *Settings) WeightsAddress() string { return s.weightsAddress }
+
+// DigestSecret returns the secret of the keyed hash of callers' keys.
+func (s *Settings) DigestSecret() []byte { return s.digestSecret }
+
+// DataFolder returns the folder for sample data; empty means no disk.
+func (s *Settings) DataFolder() string { return s.dataFolder }
+
+// LeaseTTL returns how long a lease lasts without renewal.
+func (s *Settings) LeaseTTL() time.Duration { return s.leaseTTL }
+
+// LeaseMargin returns how long before the end a holder stops acting.
+func (s *Settings) LeaseMargin() time.Duration { return s.leaseMargin }
+
+// UsageWindow returns the length of a usage window.
+func (s *Settings) UsageWindow() time.Duration { return s.usageWindow }
+
+// KeepTime returns how long callers may keep an address they were told.
+func (s *Settings) KeepTime() time.Duration { return s.keepTime }
+
+// DrainWait returns the longest wait for running requests on shutdown.
+func (s *Settings) DrainWait() time.Duration { return s.drainWait }
+
+// LogLevel returns the lowest level that is logged.
+func (s *Settings) LogLevel() string { return s.logLevel }
+
+// TraceFile returns the file that spans are written to; empty means none.
+func (s *Settings) TraceFile() string { return s.traceFile }
+
+// ResendWindow returns how long an idempotency key is remembered.
+func (s *Settings) ResendWindow() time.Duration { return s.resendWindow }
+
+// OrderPeriod returns the time between plans of backend server orders.
+func (s *Settings) OrderPeriod() time.Duration { return s.orderPeriod }
+
+// MaxServers returns the most backend servers ordered per service and domain.
+func (s *Settings) MaxServers() int { return s.maxServers }
+
+// Load reads and checks a settings file. The error lists every problem with
+// its JSON path.
+func Load(path string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, Class.Wrap(err)
+	}
+	return Parse(data)
+}
+
+// Parse checks settings in JSON.
+func Parse(data []byte) (*Settings, error) {
+	var tree map[string]any
+	if err := json.Unmarshal(data, &tree); err != nil {
+		return nil, Class.New("not a JSON object: %w", err)
+	}
+	values := map[string]any{}
+	flatten("", tree, values)
+	s := &Settings{}
+	problems := unknown(values)
+	for _, o := range options {
+		if err := o.read(s, values); err != nil {
+			problems = append(problems, o.path+": "+err.Error())
+		}
+	}
+	problems = append(problems, s.contradictions()...)
+	if len(problems) > 0 {
+		return nil, Class.Wrap(errors.New(strings.Join(problems, "; ")))
+	}
+	return s, nil
+}
+
+func (s *Settings) contradictions() []string {
+	var problems []string
+	if s.leaseTTL > 0 && 2*s.leaseMargin >= s.leaseTTL {
+		problems = append(problems, "duties.lease-margin: must be under half of duties.lease-ttl")
+	}
+	seen := map[string]string{}
+	for _, a := range []struct{ path, address string }{
+		{"callers.address", s.callersAddress},
+		{"peers.address", s.peersAddress},
+		{"operators.address", s.operatorsAddress},
+	} {
+		if other, ok := seen[a.address]; ok && a.address != "" {
+			problems = append(problems, a.path+": is the same address as "+other)
+		}
+		seen[a.address] = a.path
+	}
+	return problems
+}
+
+func flatten(prefix string, tree map[string]any, out map[string]any) {
+	for name, v := range tree {
+		path := prefix + name
+		if sub, ok := v.(map[string]any); ok {
+			flatten(path+".", sub, out)
+			continue
+		}
+		out[path] = v
+	}
+}
+
+func unknown(values map[string]any) []string {
+	known := map[string]bool{}
+	for _, o := range options {
+		known[o.path] = true
+	}
+	var problems []string
+	for path := range values {
+		if !known[path] {
+			problems = append(problems, path+": unknown field")
+		}
+	}
+	sort.Strings(problems)
+	return problems
+}
+
+// Describe returns one line per option: path, type, default and meaning.
+func Describe() []string {
+	lines := make([]string, 0, len(options))
+	for _, o := range options {
+		fallback := o.fallback
+		if o.required {
+			fallback = "required"
+		}
+		lines = append(lines, fmt.Sprintf("%-26s %-10s %-10s %s", o.path, o.form, fallback, o.meaning))
+	}
+	return lines
+}
