--- a/internal/configuration/editor.go
+++ b/internal/configuration/editor.go
@@ -1,7 +1,6 @@
 package configuration
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -70,8 +69,8 @@
 	return p, r.Revision(), err
 }
 
-// PutProfile accepts an edit if the expected edit still stands. The content is
-// written to the history first, so that no accepted edit is missing there.
+// PutProfile accepts an edit if the expected edit still stands. The standing
+// content goes to the history first, so that no accepted edit is lost.
 func (e *Editor) PutProfile(ctx context.Context, p *profile.Profile, expected uint64) (Accepted, error) {
 	standing, revision, err := e.Profile(ctx, p.Name())
 	if err != nil {
@@ -88,8 +87,10 @@
 		return Accepted{}, &ConflictError{expected, standing, p}
 	}
 	next := p.WithEdit(last + 1)
-	if err := e.writeHistory(ctx, next); err != nil {
-		return Accepted{}, err
+	if standing != nil {
+		if err := e.archive(ctx, standing); err != nil {
+			return Accepted{}, err
+		}
 	}
 	written, err := e.client.Put(ctx, profile.ProfileKey(p.Name()), profile.EncodeProfile(next), revision)
 	if errors.Is(err, store.ErrConflict) && !errors.Is(err, store.ErrUnknown) {
@@ -112,19 +113,13 @@
 	return &ConflictError{expected, standing, wanted}
 }
 
-// writeHistory stores the content of an edit that is about to be made. An
-// entry left by an edit that was not accepted is replaced.
-func (e *Editor) writeHistory(ctx context.Context, p *profile.Profile) error {
-	historyKey := profile.HistoryKey(p.Name(), p.Edit())
-	present, err := e.client.Get(ctx, historyKey)
-	if err != nil {
-		return Class.Wrap(err)
-	}
-	content := profile.EncodeProfile(p)
-	if bytes.Equal(present.Value(), content) {
+// archive stores the content of an accepted edit that is about to be replaced.
+// Racing operators all store the same content, so the first one is enough.
+func (e *Editor) archive(ctx context.Context, standing *profile.Profile) error {
+	_, err := e.client.Put(ctx, profile.HistoryKey(standing.Name(), standing.Edit()), profile.EncodeProfile(standing), 0)
+	if errors.Is(err, store.ErrConflict) {
 		return nil
 	}
-	_, err = e.client.Put(ctx, historyKey, content, present.Revision())
 	return Class.Wrap(err)
 }
 
