Fault matrix of a request: every fault at every step, and pairs

Cause: the request path was broken on purpose only in single cases.

Found: (1) a frozen backend server held a request 60 s past its deadline of 0.7 s, since the wait for the answer's headers knew only the read timeout; the deadline now bounds it. (2) With every server refusing connections the caller was told queue-timeout; it is told no-backend. (3) The log level of the HTTP library was set once per server, a data race; it is set once per process.

Conclusion: docs/FAULT-MATRIX.md is written by make matrix.

--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,10 @@
-# Targets: build, test, lint, demo, soak, bench, generate.
+# Targets: build, test, lint, demo, soak, bench, matrix, generate.
 BIN := bin
 STEPS ?= 100000
 SEED ?= 1
 UNFORMATTED = $(shell go tool gofumpt -l cmd internal pkg)
 
-.PHONY: all build test lint demo soak bench generate clean
+.PHONY: all build test lint demo soak bench matrix generate clean
 
 all: build
 
@@ -28,6 +28,9 @@
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
 
+matrix:
+	MATRIX_FILE=$(CURDIR)/docs/FAULT-MATRIX.md go test -count=1 -run TestFaultMatrix ./internal/forward
+
 generate:
 	protoc --go_out=. --go_opt=module=cactusspoke --go-grpc_out=. --go-grpc_opt=module=cactusspoke \
 		--plugin=protoc-gen-go=$(BIN)/protoc-gen-go --plugin=protoc-gen-go-grpc=$(BIN)/protoc-gen-go-grpc \
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -301,7 +301,7 @@
 	server, err := c.service.gate.Enter(spanCtx, ticket, c)
 	span.End()
 	if err != nil {
-		return false, f.stop(ctx, c, err)
+		return false, f.stop(ctx, c, f.explain(c, err))
 	}
 	c.life.step(ctx, reserve)
 	if err := f.admit(ctx, c); err != nil {
@@ -313,6 +313,19 @@
 	return f.after(ctx, c, server, err)
 }
 
+// explain tells a wait for a busy server from one where no server was left.
+func (f *Forwarder) explain(c *call, err error) error {
+	if failure.KindOf(err) != failure.QueueTimeout {
+		return err
+	}
+	for _, s := range f.fleet.Servers(time.Now(), c.request.service.Name(), 1) {
+		if c.accepts(s) {
+			return err
+		}
+	}
+	return failure.New(failure.NoBackend, "no backend server can take the request")
+}
+
 // stop ends a call that waits or is reserved. An earlier try that may have
 // run turns any refusal into a failure of unknown outcome.
 func (f *Forwarder) stop(ctx context.Context, c *call, err error) error {
--- a/internal/lab/backend.go
+++ b/internal/lab/backend.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"maps"
 	"os"
 	"strings"
 	"sync"
@@ -111,6 +112,16 @@
 	b.runs[what]++
 }
 
+// SetFaults changes the faults that a JSON text names.
+func (b *backend) SetFaults(wire string) error { return b.faults.Set([]byte(wire)) }
+
+// RunCounts returns how often each piece of work ran.
+func (b *backend) RunCounts() map[string]int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return maps.Clone(b.runs)
+}
+
 type backendSeen struct {
 	KeysSeen uint64         `json:"keys-seen"`
 	Version  int64          `json:"weight-version"`
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"cactusspoke/internal/backendserver"
 	"cactusspoke/internal/web"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -32,6 +33,8 @@
 	LoseAnswers int `json:"lose-answers"`
 	// Refuse answers 503 without doing anything.
 	Refuse bool `json:"refuse"`
+	// RefuseNotRun answers 503 and says that nothing ran.
+	RefuseNotRun bool `json:"refuse-not-run"`
 	// CutStreams breaks this many streams off in the middle.
 	CutStreams int `json:"cut-streams"`
 	// WrongEcho answers this many requests in the name of another.
@@ -98,7 +101,11 @@
 	if now.SlowMS > 0 {
 		time.Sleep(time.Duration(now.SlowMS) * time.Millisecond)
 	}
-	if now.Refuse {
+	if now.Refuse || now.RefuseNotRun {
+		echo(c)
+		if now.RefuseNotRun {
+			c.Response.Header.Set(backendserver.HeaderNotRun, "true")
+		}
 		c.SetStatusCode(503)
 		return false
 	}
--- a/internal/web/client.go
+++ b/internal/web/client.go
@@ -130,7 +130,7 @@
 // Do sends a request once and reads the whole answer. ErrNotSent in the error
 // says that nothing left; any other error leaves open whether it arrived.
 func (c *Client) Do(ctx context.Context, r *Request) (*Reply, error) {
-	resp, err := send(ctx, c.whole, r, true)
+	resp, err := send(ctx, c.whole, r)
 	if err != nil {
 		return nil, err
 	}
@@ -145,9 +145,9 @@
 const maxStale = 64
 
 // send sends a request on the first connection that is alive.
-func send(ctx context.Context, hertz *client.Client, r *Request, bounded bool) (*protocol.Response, error) {
+func send(ctx context.Context, hertz *client.Client, r *Request) (*protocol.Response, error) {
 	for range maxStale {
-		resp, err := sendOnce(ctx, hertz, r, bounded)
+		resp, err := sendOnce(ctx, hertz, r)
 		if !errors.Is(err, errStale) {
 			return resp, err
 		}
@@ -155,7 +155,7 @@
 	return nil, ErrNotSent
 }
 
-func sendOnce(ctx context.Context, hertz *client.Client, r *Request, bounded bool) (*protocol.Response, error) {
+func sendOnce(ctx context.Context, hertz *client.Client, r *Request) (*protocol.Response, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, errors.Join(ErrNotSent, err)
 	}
@@ -163,7 +163,7 @@
 	defer protocol.ReleaseRequest(req)
 	resp := protocol.AcquireResponse()
 	r.fill(req)
-	if deadline, ok := ctx.Deadline(); ok && bounded {
+	if deadline, ok := ctx.Deadline(); ok {
 		return resp, hertz.DoDeadline(ctx, req, resp, deadline)
 	}
 	return resp, hertz.Do(ctx, req, resp)
@@ -175,9 +175,9 @@
 }
 
 // Open sends a request once and returns when the answer's headers are there.
-// The read timeout of the client bounds each wait.
+// The context's deadline and the client's read timeout bound each wait.
 func (c *Client) Open(ctx context.Context, r *Request) (*Stream, error) {
-	resp, err := send(ctx, c.stream, r, false)
+	resp, err := send(ctx, c.stream, r)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/web/server.go
+++ b/internal/web/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -24,11 +25,14 @@
 	hertz *server.Hertz
 }
 
+// quiet silences the library's own log, once for the process.
+var quiet sync.Once
+
 // NewServer returns a server that is not yet listening. Bodies over
 // maxBodyBytes are answered with 413 by the library. Shutdown waits up to
 // exitWait for running requests.
 func NewServer(address string, maxBodyBytes int, exitWait time.Duration) *Server {
-	hlog.SetLevel(hlog.LevelFatal)
+	quiet.Do(func() { hlog.SetLevel(hlog.LevelFatal) })
 	hertz := server.New(
 		server.WithHostPorts(address),
 		server.WithTransport(netpoll.NewTransporter),
