--- a/internal/e2e/path_test.go
+++ b/internal/e2e/path_test.go
@@ -102,7 +102,7 @@
 	t.Run("each hop has a span", func(t *testing.T) {
 		c.eventually("spans are written", func() bool {
 			out, err := filepath.Glob(filepath.Join(c.folder, "entry-*.trace"))
-			return err == nil && len(out) == 3 && hasSpans(t, out[0], "caller POST", "queue", "attempt")
+			return err == nil && len(out) == 3 && hasSpans(t, out, "caller POST", "queue", "attempt", "peer /cactusspoke.peer.v1.Peer/Claim")
 		})
 	})
 
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -132,7 +132,7 @@
 	i.store = store.NewGuard(store.NewBudget(http, i.settings.StoreCalls()))
 	i.platform = platform.New(control)
 	i.backends = backendserver.New(data)
-	i.clients = peer.NewClients()
+	i.clients = peer.NewClients(i.tracer)
 	return i.openData()
 }
 
@@ -210,7 +210,7 @@
 	if i.bodies != nil {
 		bodies = i.bodies
 	}
-	i.peerServer = peer.NewServer(i.settings.PeersAddress(), i.members.Self(), i.mesh, i.committer, bodies, i.ledger, i.answers)
+	i.peerServer = peer.NewServer(i.settings.PeersAddress(), i.members.Self(), i.mesh, i.committer, bodies, i.ledger, i.answers, i.tracer)
 	i.callerServer = caller.NewServer(i.settings.CallersAddress(), caller.Parts{
 		Secret: i.settings.DigestSecret(), View: i.view, Forwarder: i.forwarder, Driver: i.driver, Members: i.members,
 		Clients: i.clients, Answers: i.answers, Ledger: i.ledger, Tracer: i.tracer, Registry: i.registry,
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -7,6 +7,7 @@
 
 	"cactusspoke/internal/claim"
 	"cactusspoke/internal/peer/peerpb"
+	"cactusspoke/internal/trace"
 
 	"github.com/zeebo/errs"
 	"google.golang.org/grpc"
@@ -32,12 +33,16 @@
 
 // Clients holds one connection to each peer.
 type Clients struct {
+	tracer *trace.Tracer
+
 	mu    sync.Mutex
 	conns map[string]*grpc.ClientConn
 }
 
-// NewClients returns an empty set of connections.
-func NewClients() *Clients { return &Clients{conns: map[string]*grpc.ClientConn{}} }
+// NewClients returns an empty set of connections that carry traces on.
+func NewClients(tracer *trace.Tracer) *Clients {
+	return &Clients{tracer: tracer, conns: map[string]*grpc.ClientConn{}}
+}
 
 // Get returns the client of the peer at an IP address and port.
 func (c *Clients) Get(address string) (peerpb.PeerClient, error) {
@@ -50,6 +55,7 @@
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithDisableRetry(),
+		grpc.WithUnaryInterceptor(traceOut(c.tracer)),
 		grpc.WithReadBufferSize(bufferBytes),
 		grpc.WithWriteBufferSize(bufferBytes),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes), grpc.MaxCallSendMsgSize(maxMessageBytes)),
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -13,6 +13,7 @@
 	"cactusspoke/internal/quarantine"
 	"cactusspoke/internal/store"
 	"cactusspoke/internal/timer"
+	"cactusspoke/internal/trace"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
@@ -59,7 +60,7 @@
 	for i := range servers {
 		f.Report(now, fleet.NewLoad(fmt.Sprintf("route-llm-%d", i), 0x0a1b2c3d, 12345, 12, 3, 16, 42, false, now))
 	}
-	return NewMesh(members, configuration.NewView(nil), f, quarantine.New(), NewClients(), timer.New(),
+	return NewMesh(members, configuration.NewView(nil), f, quarantine.New(), NewClients(&trace.Tracer{}), timer.New(),
 		metrics.NewRegistry(), zap.NewNop(), func() float64 { return 0.5 })
 }
 
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -7,6 +7,7 @@
 
 	"cactusspoke/internal/claim"
 	"cactusspoke/internal/peer/peerpb"
+	"cactusspoke/internal/trace"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
@@ -51,12 +52,16 @@
 	bodies    Bodies
 	counters  Counters
 	answers   Answers
+	tracer    *trace.Tracer
 	self      Member
 }
 
 // NewServer returns a server; bodies is nil on an instance without a disk.
-func NewServer(address string, self Member, mesh *Mesh, committer *claim.Committer, bodies Bodies, counters Counters, answers Answers) *Server {
-	return &Server{address: address, self: self, mesh: mesh, committer: committer, bodies: bodies, counters: counters, answers: answers}
+func NewServer(address string, self Member, mesh *Mesh, committer *claim.Committer, bodies Bodies, counters Counters, answers Answers, tracer *trace.Tracer) *Server {
+	return &Server{
+		address: address, self: self, mesh: mesh, committer: committer, bodies: bodies,
+		counters: counters, answers: answers, tracer: tracer,
+	}
 }
 
 // Serve runs until the context ends.
@@ -68,6 +73,7 @@
 	server := grpc.NewServer(
 		grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxSendMsgSize(maxMessageBytes),
 		grpc.ReadBufferSize(bufferBytes), grpc.WriteBufferSize(bufferBytes),
+		grpc.UnaryInterceptor(traceIn(s.tracer)),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: time.Second, PermitWithoutStream: true}),
 	)
 	peerpb.RegisterPeerServer(server, s)
