Cut off, frozen and reclaimed: more failures with real processes

The configuration's watchers wait half a second and not one, and an instance watches by itself after 3 s and not 2: the age of a confirmation counts from before the call left, so a watch of one second is already a second old when it answers.

Ruled out for the store's reads that grow with the cell: the lease candidates (three an instance list, nine reads a second whatever the size).

--- a/internal/configuration/watch.go
+++ b/internal/configuration/watch.go
@@ -13,9 +13,9 @@
 
 // Periods of a watcher.
 const (
-	watchWait   = time.Second
+	watchWait   = 500 * time.Millisecond
 	roleCheck   = 250 * time.Millisecond
-	staleAfter  = 2 * time.Second
+	staleAfter  = 3 * time.Second
 	callTimeout = 2 * time.Second
 )
 
--- a/internal/e2e/failure_test.go
+++ b/internal/e2e/failure_test.go
@@ -244,6 +244,31 @@
 		}
 	})
 
+	t.Run("an instance that is cut off refuses keyed requests, and recovers", func(t *testing.T) {
+		frozen := []string{"store", "entry-0", "entry-1"}
+		for _, name := range frozen {
+			c.signal(name, syscall.SIGSTOP)
+		}
+		c.eventually("entry-2 refuses", func() bool { return c.chat("entry-2", "clinic").kind() == "cut-off" })
+		open := c.send("GET", c.url("entry-2", "/v1/services/returns-app/slots/today"), "", nil)
+		require.Equal(t, 200, open.status, "a route open to all needs no key")
+		for _, name := range frozen {
+			c.signal(name, syscall.SIGCONT)
+		}
+		c.eventually("entry-2 serves again", func() bool { return c.chat("entry-2", "clinic").status == 200 })
+	})
+
+	t.Run("a key withdrawn while an instance was frozen does not work there", func(t *testing.T) {
+		granted := c.must("key", "grant", "--settings", c.settings("entry-0"), "--customer", "caterer")
+		c.keys["extra"] = strings.Fields(granted)[0]
+		c.eventually("entry-1 takes the key", func() bool { return c.chat("entry-1", "extra").status == 200 })
+		c.signal("entry-1", syscall.SIGSTOP)
+		c.must("key", "withdraw", "--settings", c.settings("entry-0"), "--customer", "caterer", c.keys["extra"])
+		time.Sleep(6 * time.Second)
+		c.signal("entry-1", syscall.SIGCONT)
+		c.eventually("entry-1 refuses", func() bool { return c.chat("entry-1", "extra").kind() == "key-withdrawn" })
+	})
+
 	t.Run("a graceful stop cuts off no stream", func(t *testing.T) {
 		caller, err := client.New([]string{c.addresses["entry-2"]}, c.keys["clinic"], "")
 		require.NoError(t, err)
@@ -301,6 +326,7 @@
 			return driver != ""
 		})
 		c.kill(driver)
+		time.Sleep(500 * time.Millisecond)
 		c.startProcess(driver)
 		result := <-done
 		require.NoError(t, <-failed)
@@ -368,3 +394,37 @@
 	}
 	return ""
 }
+
+// TestDomainReclaimed takes a whole failure domain away under load, with a
+// second of notice, and stops an entry instance at the same time.
+func TestDomainReclaimed(t *testing.T) {
+	c := start(t)
+	w, err := lab.ReadWorkload("../../workloads/demo.json")
+	require.NoError(t, err)
+	entries := []string{c.addresses["entry-0"], c.addresses["entry-1"], c.addresses["entry-2"]}
+	load, err := lab.NewLoad(lab.LoadOptions{Workload: w, Entries: entries, Keys: c.keys, Duration: 12 * time.Second, Scale: 1.5, Seed: 3})
+	require.NoError(t, err)
+	done := make(chan lab.LoadResult, 1)
+	go func() { done <- load.Run(t.Context()) }()
+	time.Sleep(3 * time.Second)
+	gone := []string{"route-llm-2", "returns-app-1"}
+	for _, name := range gone {
+		a := c.send("POST", "http://"+c.addresses["instances"]+lab.PathLeaving+"?name="+name, "", nil)
+		require.Equal(t, 200, a.status)
+	}
+	c.signal("entry-2", syscall.SIGTERM)
+	time.Sleep(4 * time.Second)
+	for _, name := range gone {
+		c.kill(name)
+	}
+	result := <-done
+	require.Zero(t, result.Twice)
+	for _, customer := range result.Customers {
+		require.Zero(t, customer.Outcomes["truncated"], "%v", customer.Outcomes)
+		require.Zero(t, customer.Outcomes["backend-failed"], "%v", customer.Outcomes)
+	}
+	require.GreaterOrEqual(t, result.Whole, result.Sent*95/100, "%+v", result)
+	require.NoError(t, c.running["entry-2"].Wait())
+	delete(c.running, "entry-2")
+	require.Empty(t, c.violations())
+}
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -6,6 +6,8 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
+	"os"
 	runtimemetrics "runtime/metrics"
 	"strconv"
 	"syscall"
@@ -110,7 +112,22 @@
 	}
 	cpu := time.Duration(used.Utime.Nano() + used.Stime.Nano())
 	metrics.GetOrRegisterGauge("process-cpu-ms", s.registry).Update(cpu.Milliseconds())
-	metrics.GetOrRegisterGauge("process-max-rss-kb", s.registry).Update(used.Maxrss)
+	if resident, err := residentBytes(); err == nil {
+		metrics.GetOrRegisterGauge("process-rss-kb", s.registry).Update(resident >> 10)
+	}
+}
+
+// residentBytes returns the memory of the process that is in use now.
+func residentBytes() (int64, error) {
+	data, err := os.ReadFile("/proc/self/statm")
+	if err != nil {
+		return 0, err
+	}
+	var size, resident int64
+	if _, err := fmt.Sscan(string(data), &size, &resident); err != nil {
+		return 0, err
+	}
+	return resident * int64(os.Getpagesize()), nil
 }
 
 // WireMember is an instance in the status.
--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -16,7 +16,7 @@
     local at
     at=$(address "entry-$i-operators")
     CPU=$((CPU + $(metric "$at" process-cpu-ms)))
-    RSS=$((RSS + $(metric "$at" process-max-rss-kb)))
+    RSS=$((RSS + $(metric "$at" process-rss-kb)))
     OUT=$((OUT + $(metric "$at" peer-exchange-bytes-out)))
     IN=$((IN + $(metric "$at" peer-exchange-bytes-in)))
   done
