--- a/internal/claim/committer.go
+++ b/internal/claim/committer.go
@@ -10,9 +10,11 @@
 
 // Limits of a committer.
 const (
-	queueLength   = 4096
-	batchLength   = 256
-	gatherPause   = 5 * time.Millisecond
+	queueLength = 4096
+	batchLength = 256
+	// commitEvery is the least time between two commits of a range. A claim
+	// that comes after a longer silence does not wait.
+	commitEvery   = 40 * time.Millisecond
 	commitTimeout = 1500 * time.Millisecond
 )
 
@@ -41,21 +43,19 @@
 // Run serves one range until the context ends.
 func (c *Committer) Run(ctx context.Context, number int) error {
 	queue := c.rings[number]
+	var last time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case first := <-queue.Items():
-			c.commit(ctx, number, append([]pending{first}, c.gather(queue)...))
+			time.Sleep(commitEvery - time.Since(last))
+			last = time.Now()
+			c.commit(ctx, number, append([]pending{first}, queue.Drain(batchLength-1)...))
 		}
 	}
 }
 
-func (c *Committer) gather(queue *ring.Ring[pending]) []pending {
-	time.Sleep(gatherPause)
-	return queue.Drain(batchLength - 1)
-}
-
 func (c *Committer) commit(ctx context.Context, number int, batch []pending) {
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -31,6 +32,12 @@
 	bulkTimeout = 10 * time.Second
 )
 
+// Sizes of one message with sample bodies.
+const (
+	batchBytes   = 4 << 20
+	batchSamples = 32
+)
+
 // Clients holds one connection to each peer.
 type Clients struct {
 	tracer *trace.Tracer
@@ -133,8 +140,18 @@
 	ctx, cancel := context.WithTimeout(ctx, bulkTimeout)
 	defer cancel()
 	request := &peerpb.PutSamplesRequest{Step: step}
+	size := 0
 	for id, body := range bodies {
 		request.Samples = append(request.Samples, &peerpb.Sample{Id: id, Body: body})
+		size += len(body)
+		if size < batchBytes {
+			continue
+		}
+		if _, err := client.PutSamples(ctx, request); err != nil {
+			return Class.Wrap(err)
+		}
+		request.Samples = nil
+		size = 0
 	}
 	_, err = client.PutSamples(ctx, request)
 	return Class.Wrap(err)
@@ -148,13 +165,15 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, bulkTimeout)
 	defer cancel()
-	reply, err := client.GetSamples(ctx, &peerpb.GetSamplesRequest{Step: step, Ids: ids})
-	if err != nil {
-		return nil, Class.Wrap(err)
-	}
 	bodies := map[string][]byte{}
-	for _, s := range reply.GetSamples() {
-		bodies[s.GetId()] = s.GetBody()
+	for batch := range slices.Chunk(ids, batchSamples) {
+		reply, err := client.GetSamples(ctx, &peerpb.GetSamplesRequest{Step: step, Ids: batch})
+		if err != nil {
+			return nil, Class.Wrap(err)
+		}
+		for _, s := range reply.GetSamples() {
+			bodies[s.GetId()] = s.GetBody()
+		}
 	}
 	return bodies, nil
 }
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -81,6 +81,16 @@
 	return out
 }
 
+func encodeHeard(now time.Time, members []Member) []*peerpb.Heard {
+	out := make([]*peerpb.Heard, 0, len(members))
+	for _, m := range members {
+		out = append(out, &peerpb.Heard{
+			Member: uint32(xxhash.Sum64String(m.name)), AgeMs: uint32(max(0, now.Sub(m.heardAt).Milliseconds())),
+		})
+	}
+	return out
+}
+
 func encodeSuspects(now time.Time, suspects []quarantine.Suspect) []*peerpb.Suspect {
 	out := make([]*peerpb.Suspect, 0, len(suspects))
 	for _, s := range suspects {
--- a/internal/peer/member.go
+++ b/internal/peer/member.go
@@ -14,8 +14,14 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// aliveFor is how long a member counts as alive after it was heard.
-const aliveFor = 3 * time.Second
+// How long a member counts as alive after anybody heard it. In a large cell
+// the news takes some rounds to spread.
+const (
+	aliveFor     = 3 * time.Second
+	aliveForMany = 8 * time.Second
+	briefHeard   = 16
+	manyMembers  = 16
+)
 
 // Member is an entry instance as this one knows it.
 type Member struct {
@@ -127,6 +133,43 @@
 	m.table[told.name] = &told
 }
 
+// limit is how long a member counts as alive in a table of this size.
+func (m *Members) limit() time.Duration {
+	if len(m.table) > manyMembers {
+		return aliveForMany
+	}
+	return aliveFor
+}
+
+// HearOf notes that a peer knew of a member an age ago.
+func (m *Members) HearOf(now time.Time, hashed uint32, age time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for name, member := range m.table {
+		if name == m.self || uint32(xxhash.Sum64String(name)) != hashed {
+			continue
+		}
+		if at := now.Add(-age); at.After(member.heardAt) {
+			member.heardAt = at
+		}
+		return
+	}
+}
+
+// Heard returns when each other member was last heard, the latest first.
+func (m *Members) Heard() []Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make([]Member, 0, len(m.table))
+	for name, member := range m.table {
+		if name != m.self && !member.heardAt.IsZero() {
+			out = append(out, *member)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].heardAt.After(out[j].heardAt) })
+	return out
+}
+
 // Others returns the other members that are listed or were heard lately.
 func (m *Members) Others(now time.Time) []Member {
 	m.mu.Lock()
@@ -136,7 +179,7 @@
 		if name == m.self || member.peersAddress == "" {
 			continue
 		}
-		if member.listed || now.Sub(member.heardAt) < aliveFor {
+		if member.listed || now.Sub(member.heardAt) < m.limit() {
 			out = append(out, *member)
 		}
 	}
@@ -150,7 +193,7 @@
 	defer m.mu.Unlock()
 	var out []Member
 	for name, member := range m.table {
-		if name == m.self || now.Sub(member.heardAt) < aliveFor {
+		if name == m.self || now.Sub(member.heardAt) < m.limit() {
 			out = append(out, *member)
 		}
 	}
@@ -186,7 +229,7 @@
 	}
 	before := 0
 	for name, member := range m.table {
-		alive := name == m.self || now.Sub(member.heardAt) < aliveFor
+		alive := name == m.self || now.Sub(member.heardAt) < m.limit()
 		if alive && !member.Draining() && routing.Score(hash, name) > own {
 			before++
 		}
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -21,12 +21,9 @@
 
 // Periods and sizes of the exchange.
 const (
-	exchangePeriod = 500 * time.Millisecond
-	exchangeJitter = 0.2
-	exchangeFanOut = 2
-	// manyMembers is the size from which loads travel only with the first
-	// exchange of every second round, to stay within the bytes of a large cell.
-	manyMembers     = 16
+	exchangePeriod  = 500 * time.Millisecond
+	exchangeJitter  = 0.2
+	exchangeFanOut  = 2
 	pushFanOut      = 8
 	exchangeTimeout = time.Second
 )
@@ -71,6 +68,8 @@
 	odd := false
 	return m.timers.Subscribe(ctx, exchangePeriod, exchangeJitter, func(now time.Time) {
 		odd = !odd
+		// In a large cell loads travel only with the first exchange of every
+		// second round, to stay within the cell's bytes.
 		full := exchangeFanOut
 		if len(m.members.Others(now)) >= manyMembers {
 			full = 0
@@ -143,9 +142,13 @@
 		Suspensions: encodeDigests(m.view.Suspensions()),
 		Suspects:    encodeSuspects(now, m.suspects.Suspects(now)),
 	}
-	if !brief {
+	heard := m.members.Heard()
+	if brief {
+		heard = heard[:min(briefHeard, len(heard))]
+	} else {
 		d.Loads = encodeLoads(now, m.fleet.Loads())
 	}
+	d.Heard = encodeHeard(now, heard)
 	if age, seen := m.view.Age(now); seen {
 		d.StoreSeen = true
 		d.ConfirmedAgeMs = uint32(age.Milliseconds() + 1)
@@ -163,6 +166,9 @@
 	m.bytesIn.Inc(int64(proto.Size(d)))
 	now := time.Now()
 	m.members.Hear(now, decodeMember(d.GetSelf(), d.GetRevision()))
+	for _, h := range d.GetHeard() {
+		m.members.HearOf(now, h.GetMember(), time.Duration(h.GetAgeMs())*time.Millisecond)
+	}
 	m.view.Suspend(decodeDigests(d.GetSuspensions()))
 	m.view.Apply(decodeRecords(d.GetRecords()), store.Revision(d.GetAfter()), store.Revision(d.GetRevision()))
 	if answer && d.GetStoreSeen() && m.view.Current().Revision() <= store.Revision(d.GetRevision()) {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"runtime"
 	"testing"
 	"time"
@@ -131,3 +132,66 @@
 	runtime.ReadMemStats(&s)
 	return s.HeapAlloc
 }
+
+// TestLargeCellAgrees runs the exchanges of a cell of 49 without a network and
+// asserts that its members agree on who is alive and who watches, and that a
+// dead member is noticed.
+func TestLargeCellAgrees(t *testing.T) {
+	const size, rounds = 49, 60
+	random := rand.New(rand.NewPCG(9, 9))
+	now := time.Unix(1000, 0)
+	tables := make([]*Members, size)
+	lines := make([]Member, size)
+	var listed []platform.Instance
+	for i := range tables {
+		lines[i] = NewMember(fmt.Sprintf("entry-%d", i), "1", "a", "127.0.0.1:1", "127.0.0.1:2", false)
+		tables[i] = NewMembers(lines[i])
+		listed = append(listed, platform.NewInstance(platform.WireInstance{
+			Name: lines[i].name, Role: "entry", PeersAddress: "127.0.0.1:1", FailureDomain: "a", State: "live",
+		}))
+	}
+	for _, table := range tables {
+		table.List(listed)
+	}
+	spread := func(alive int) {
+		for range rounds {
+			now = now.Add(exchangePeriod)
+			for i := range alive {
+				for exchange := range exchangeFanOut {
+					meet(tables, lines, i, random.IntN(alive), now, exchange > 0)
+				}
+			}
+		}
+	}
+	spread(size)
+	for i := range tables {
+		require.Len(t, tables[i].Alive(now), size)
+	}
+	spread(size - 1)
+	watchers := 0
+	for i := range size - 1 {
+		require.Len(t, tables[i].Alive(now), size-1)
+		if tables[i].InFirst(now, "configuration", 2) {
+			watchers++
+		}
+	}
+	require.Equal(t, 2, watchers)
+}
+
+// meet lets two members tell each other whom they heard and when.
+func meet(tables []*Members, lines []Member, a, b int, now time.Time, brief bool) {
+	if a == b {
+		return
+	}
+	for _, pair := range [][2]int{{a, b}, {b, a}} {
+		from, to := pair[0], pair[1]
+		heard := tables[from].Heard()
+		if brief {
+			heard = heard[:min(briefHeard, len(heard))]
+		}
+		tables[to].Hear(now, lines[from])
+		for _, h := range encodeHeard(now, heard) {
+			tables[to].HearOf(now, h.GetMember(), time.Duration(h.GetAgeMs())*time.Millisecond)
+		}
+	}
+}
--- a/internal/weights/desk.go
+++ b/internal/weights/desk.go
@@ -47,6 +47,7 @@
 
 	mu     sync.Mutex
 	staged map[stagedKey]int64
+	active map[stagedKey]int64
 }
 
 // stagedKey is one run of one server.
@@ -59,7 +60,7 @@
 func NewDesk(address string, source Source, engines Engines, services func() []string,
 	servers func(service string) []fleet.Server, log *zap.Logger,
 ) *Desk {
-	return &Desk{address: address, source: source, engines: engines, services: services, servers: servers, log: log, staged: map[stagedKey]int64{}}
+	return &Desk{address: address, source: source, engines: engines, services: services, servers: servers, log: log, staged: map[stagedKey]int64{}, active: map[stagedKey]int64{}}
 }
 
 // Act is one round of the duty.
@@ -76,7 +77,7 @@
 func (d *Desk) change(ctx context.Context, term *duty.Term, service string, version int64) {
 	var behind []fleet.Server
 	for _, s := range d.servers(service) {
-		if s.WeightVersion() < version {
+		if s.WeightVersion() < version && !d.holds(d.active, s, version) {
 			behind = append(behind, s)
 		}
 	}
@@ -86,8 +87,12 @@
 	ready := d.stageAll(ctx, term, behind, version)
 	startedAt := time.Now()
 	done := d.each(ready, len(ready), func(s fleet.Server) error {
-		d.setStaged(s, 0)
-		return d.order(ctx, term, s, backendserver.Activate, version)
+		d.set(d.staged, s, 0)
+		if err := d.order(ctx, term, s, backendserver.Activate, version); err != nil {
+			return err
+		}
+		d.set(d.active, s, version)
+		return nil
 	})
 	d.log.Info("weights: version active", zap.String("service", service), zap.Int64("version", version),
 		zap.Int("servers", len(done)), zap.Int("behind", len(behind)-len(done)), zap.Duration("switch", time.Since(startedAt)))
@@ -100,27 +105,29 @@
 	ctx, cancel := context.WithTimeout(ctx, stageTimeout)
 	defer cancel()
 	return d.each(servers, maxStaging, func(s fleet.Server) error {
-		if d.isStaged(s, version) {
+		if d.holds(d.staged, s, version) {
 			return nil
 		}
 		if err := d.order(ctx, term, s, backendserver.Stage, version); err != nil {
 			return err
 		}
-		d.setStaged(s, version)
+		d.set(d.staged, s, version)
 		return nil
 	})
 }
 
-func (d *Desk) setStaged(s fleet.Server, version int64) {
+func (d *Desk) set(versions map[stagedKey]int64, s fleet.Server, version int64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.staged[stagedKey{s.ID(), s.Incarnation()}] = version
+	versions[stagedKey{s.ID(), s.Incarnation()}] = version
 }
 
-func (d *Desk) isStaged(s fleet.Server, version int64) bool {
+// holds tells whether a run of a server has a version by our own orders; its
+// load report may still show the version before.
+func (d *Desk) holds(versions map[stagedKey]int64, s fleet.Server, version int64) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.staged[stagedKey{s.ID(), s.Incarnation()}] == version
+	return versions[stagedKey{s.ID(), s.Incarnation()}] == version
 }
 
 func (d *Desk) order(ctx context.Context, term *duty.Term, s fleet.Server, action backendserver.WeightsAction, version int64) error {
--- a/scripts/workload.sh
+++ b/scripts/workload.sh
@@ -38,6 +38,8 @@
 echo
 curl -sS "http://$(address usage)/lab/seen" | sed 's/.*"violations"/usage: "violations"/'
 echo
+echo "== weights, by version: servers switched and the time of the switch"
+grep -ho '"weights: version active".*' "$FOLDER"/entry-*.log | sed 's/.*"version":/version /' || true
 echo "== instances"
 for ((i = 0; i < ENTRY_COUNT; i++)); do
   "$BIN/cactusspoke" status --settings "$FOLDER/settings-entry-$i.json" | grep '"violations"'
