A successor waits for the holder's time to live

Cause: read as a newcomer, the wait of a successor rested on all instances having the same duties.lease-ttl, which nothing checks. The record now says the holder's, and a successor waits for the longer of the two. A trainer whose key is withdrawn no longer keeps its step running for an hour.

Ruled out: refusing to compete with another time to live (an instance list being changed over would have no holder).

Conclusion: one setting less that must agree; requests.resend-window still must, and says so.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -40,6 +40,7 @@
 	holder   string
 	epoch    uint64
 	sequence uint64
+	ttl      time.Duration
 }
 
 // Holder returns who last wrote the record.
@@ -52,11 +53,12 @@
 	Holder   string `json:"holder"`
 	Epoch    uint64 `json:"epoch"`
 	Sequence uint64 `json:"sequence"`
+	TTLMS    int64  `json:"ttl-ms"`
 }
 
 // Encode returns the JSON form of a record.
 func Encode(r Record) []byte {
-	data, err := json.Marshal(recordWire{r.holder, r.epoch, r.sequence})
+	data, err := json.Marshal(recordWire{r.holder, r.epoch, r.sequence, r.ttl.Milliseconds()})
 	if err != nil {
 		panic(err)
 	}
@@ -72,7 +74,7 @@
 	if err := json.Unmarshal(data, &w); err != nil {
 		return Record{}, Class.Wrap(err)
 	}
-	return Record{w.Holder, w.Epoch, w.Sequence}, nil
+	return Record{w.Holder, w.Epoch, w.Sequence, time.Duration(w.TTLMS) * time.Millisecond}, nil
 }
 
 // Write is the action of a candidate: put the record at the expected revision.
@@ -89,8 +91,9 @@
 
 // Candidate is one process's view of one lease. The right of a holder ends on
 // its own clock, counted from before the renewal was sent; a successor waits
-// the whole time to live plus a grace, counted from when it first saw the
-// record. Neither compares clocks with the other.
+// the whole time to live of the record's holder, and at least its own, plus a
+// grace, counted from when it first saw the record. Neither compares clocks
+// with the other.
 type Candidate struct {
 	me     string
 	ttl    time.Duration
@@ -165,13 +168,13 @@
 	if c.State() == Holder {
 		return c.renewal(now)
 	}
-	if c.revision != 0 && now.Before(c.seenAt.Add(c.ttl+c.grace)) {
+	if c.revision != 0 && now.Before(c.seenAt.Add(max(c.ttl, c.seen.ttl)+c.grace)) {
 		return Write{}, false
 	}
 	if c.State() == Follower {
 		c.fire(triggerAcquire)
 	}
-	return Write{Record{c.me, c.seen.epoch + 1, 1}, c.revision}, true
+	return Write{Record{c.me, c.seen.epoch + 1, 1, c.ttl}, c.revision}, true
 }
 
 // renewal is due from a third of the time to live on.
@@ -183,7 +186,7 @@
 	if now.Before(c.acquiredAt.Add(c.ttl / 3)) {
 		return Write{}, false
 	}
-	return Write{Record{c.me, c.epoch, c.seen.sequence + 1}, c.revision}, true
+	return Write{Record{c.me, c.epoch, c.seen.sequence + 1, c.ttl}, c.revision}, true
 }
 
 // Written notes that a write was confirmed. sentAt is a time before it left.
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -78,6 +78,19 @@
 			_, due = c.Next(start.Add(ttl + grace + 1))
 			require.False(t, due)
 		}},
+		{"a successor with a shorter time to live waits for the holder's", func(t *testing.T) {
+			holder := held()
+			w, due := holder.Next(start.Add(ttl / 2))
+			require.True(t, due)
+			record, err := lease.Decode(lease.Encode(w.Record()))
+			require.NoError(t, err)
+			hasty := lease.New("b", ttl/10, margin/10, 0)
+			hasty.Observe(start, record, 5)
+			_, due = hasty.Next(start.Add(ttl - 1))
+			require.False(t, due)
+			_, due = hasty.Next(start.Add(ttl))
+			require.True(t, due)
+		}},
 		{"a holder that sees another's record stops at once", func(t *testing.T) {
 			c := held()
 			c.Observe(start.Add(time.Millisecond), other, 9)
--- a/internal/rollout/driver.go
+++ b/internal/rollout/driver.go
@@ -209,6 +209,11 @@
 	if r.err == nil {
 		d.wasted.Inc(1)
 	}
+	if failure.KindOf(r.err) == failure.KeyWithdrawn {
+		d.log.Info("rollout: step abandoned, its trainer's key was withdrawn", zap.Stringer("step", a.order.id))
+		a.cancel()
+		return
+	}
 	go d.sample(ctx, a, r.at)
 }
 
--- a/internal/settings/option.go
+++ b/internal/settings/option.go
@@ -44,7 +44,7 @@
 	{"duties.order-period", "duration", "2s", false, "time between plans of backend server orders", func(s *Settings, t string) error { return duration(&s.orderPeriod, t) }},
 	{"duties.max-servers", "number", "16", false, "most backend servers ordered per service and failure domain", func(s *Settings, t string) error { return whole(&s.maxServers, t, 1, 1000) }},
 	{"usage.window", "duration", "1m", false, "length of a usage window, the same on all instances", func(s *Settings, t string) error { return duration(&s.usageWindow, t) }},
-	{"requests.resend-window", "duration", "10m", false, "how long an idempotency key is remembered", func(s *Settings, t string) error { return duration(&s.resendWindow, t) }},
+	{"requests.resend-window", "duration", "10m", false, "how long an idempotency key is remembered, the same on all instances", func(s *Settings, t string) error { return duration(&s.resendWindow, t) }},
 	{"callers.keep-time", "duration", "5s", false, "how long a caller may keep the list of entry instances", func(s *Settings, t string) error { return duration(&s.keepTime, t) }},
 	{"drain.wait", "duration", "2m", false, "longest wait for running requests on shutdown", func(s *Settings, t string) error { return duration(&s.drainWait, t) }},
 	{"log.level", "word", "info", false, "debug, info, warn or error", func(s *Settings, t string) error { return word(&s.logLevel, t, "debug", "info", "warn", "error") }},
