The HTTP library sent idempotent methods twice; it no longer does

Ruled out: a custom retry function (the library does not ask it in this case), one attempt at most (not asked either), a connection for each request (costs the reuse).

--- /dev/null
+++ b/internal/keeper/keeper_test.go
@@ -0,0 +1,30 @@
+package keeper_test
+
+import (
+	"testing"
+
+	"cactusspoke/internal/keeper"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestKeeperKeepsAcrossARestart(t *testing.T) {
+	folder := t.TempDir()
+	k, err := keeper.Open(folder)
+	require.NoError(t, err)
+	require.NoError(t, k.Put("trainer/1", map[string][]byte{"a": []byte("one"), "b": []byte("two")}))
+	_, err = keeper.Open(folder)
+	require.ErrorContains(t, err, "in use by another process")
+	require.NoError(t, k.Close())
+	k, err = keeper.Open(folder)
+	require.NoError(t, err)
+	got, err := k.Get("trainer/1", []string{"a", "c"})
+	require.NoError(t, err)
+	require.Equal(t, map[string][]byte{"a": []byte("one")}, got)
+	require.NoError(t, k.Drop("trainer/1"))
+	require.NoError(t, k.Drop("trainer/1"))
+	steps, err := k.Steps()
+	require.NoError(t, err)
+	require.Empty(t, steps)
+	require.NoError(t, k.Close())
+}
--- a/internal/web/client.go
+++ b/internal/web/client.go
@@ -3,7 +3,6 @@
 package web
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -93,9 +92,7 @@
 	return r
 }
 
-// fill writes the request into the library's form. The body always goes as a
-// stream, since the library resends idempotent methods whose body it can
-// rewind when a pooled connection turns out to be closed.
+// fill writes the request into the library's form.
 func (r *Request) fill(out *protocol.Request) {
 	out.SetMethod(r.method)
 	out.SetRequestURI(r.url)
@@ -105,7 +102,9 @@
 	for _, h := range r.headers {
 		out.Header.Set(h.name, h.value)
 	}
-	out.SetBodyStream(bytes.NewReader(r.body), len(r.body))
+	if len(r.body) > 0 {
+		out.SetBodyRaw(r.body)
+	}
 }
 
 // Reply is a whole answer.
