A true account: every refusal is counted, and replays as such

Read against the callers' record, two kinds were missing: refusals before a request is forwarded (withdrawn keys, wrong routes, draining) were not counted at all, and a resend that got a stored answer was counted as refused.

Ruled out: counting by the path or name that a caller sent (unbounded, and the caller's invention); unknown ones count as such.

Change: the caller's server counts what ends before it is forwarded, under the key's customer; a replay has a figure of its own.

--- a/internal/caller/completion.go
+++ b/internal/caller/completion.go
@@ -35,6 +35,7 @@
 	if model.Type != gjson.String {
 		return failure.New(failure.BadRequest, "model: must name a service")
 	}
+	accountOf(c).service = model.String()
 	service, p, err := s.service(model.String(), profile.Model)
 	if err != nil {
 		return err
@@ -116,10 +117,11 @@
 		go s.watchKey(ctx, cancel, request)
 	}
 	sink := newSink(c)
+	accountOf(c).counted = true
 	err := s.forwarder.Do(ctx, request, sink)
 	var ran *forward.AlreadyRunError
 	if errors.As(err, &ran) {
-		return s.replay(ctx, c, ran, err)
+		return s.replay(ctx, c, request, ran, err)
 	}
 	return sink.settled(err)
 }
@@ -143,14 +145,17 @@
 
 // replay answers a request that was sent again with the stored answer of the
 // attempt that ran, if that is still held.
-func (s *Server) replay(ctx context.Context, c *app.RequestContext, ran *forward.AlreadyRunError, err error) error {
+func (s *Server) replay(ctx context.Context, c *app.RequestContext, request *forward.Request, ran *forward.AlreadyRunError, err error) error {
+	entry := s.ledger.Open(request.CustomerName(), request.ServiceName())
 	status, kind, data, found := s.answers.Stored(ran.ID())
 	if !found {
 		status, kind, data, found = s.storedElsewhere(ctx, ran)
 	}
 	if !found {
+		entry.Refuse(failure.KindOf(err).String())
 		return err
 	}
+	entry.Replay()
 	c.Response.Header.Set("Idempotent-Replayed", "true")
 	c.Data(status, kind, data)
 	return nil
--- a/internal/caller/identity.go
+++ b/internal/caller/identity.go
@@ -48,6 +48,7 @@
 	if !known {
 		return identity{}, failure.New(failure.Unauthenticated, "the key is not known")
 	}
+	accountOf(c).customer = customer.Name()
 	if !allowed {
 		return identity{}, failure.New(failure.KeyWithdrawn, "the key was withdrawn")
 	}
--- a/internal/caller/plain.go
+++ b/internal/caller/plain.go
@@ -16,6 +16,7 @@
 
 // plain serves the routes of plain services.
 func (s *Server) plain(ctx context.Context, c *app.RequestContext) error {
+	accountOf(c).service = c.Param("service")
 	service, p, err := s.service(c.Param("service"), profile.Plain)
 	if err != nil {
 		return err
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -105,11 +105,13 @@
 		defer s.latency.UpdateSince(time.Now())
 		ctx, span := s.tracer.Start(s.tracer.Extract(ctx, c.Request.Header.Get(trace.Header)), "caller "+string(c.Method()))
 		defer span.End()
+		c.Set(accountKey, &account{customer: unknown, service: unknown})
 		err := s.open()
 		if err == nil {
 			err = next(ctx, c)
 		}
 		if err != nil {
+			s.count(c, err)
 			s.refuse(c, err)
 		}
 	}
--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -63,6 +63,7 @@
 	lines     map[string][]string
 	running   map[string]*exec.Cmd
 	keys      map[string]string
+	record    map[string]int
 }
 
 // freeBase finds a run of ports that are free now.
@@ -94,6 +95,7 @@
 	c := &cluster{
 		t: t, bin: binaries(t), folder: t.TempDir(), addresses: map[string]string{},
 		lines: map[string][]string{}, running: map[string]*exec.Cmd{}, keys: map[string]string{},
+		record: map[string]int{},
 	}
 	w, err := lab.ReadWorkload("../../workloads/demo.json")
 	require.NoError(t, err)
@@ -237,6 +239,18 @@
 	return wire.Error.Kind
 }
 
+// figure is the kind under which the account should count the answer.
+func (a answer) figure() string {
+	switch {
+	case a.status == 200 && a.header.Get("Idempotent-Replayed") == "true":
+		return "replayed"
+	case a.status == 200:
+		return "requests"
+	default:
+		return "refused:" + a.kind()
+	}
+}
+
 func (c *cluster) send(method, url, key string, body []byte, headers ...string) answer {
 	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
 	defer cancel()
@@ -255,7 +269,11 @@
 	defer func() { _ = reply.Body.Close() }()
 	var out bytes.Buffer
 	_, err = out.ReadFrom(reply.Body)
-	return answer{status: reply.StatusCode, header: reply.Header, body: out.Bytes(), err: err}
+	a := answer{status: reply.StatusCode, header: reply.Header, body: out.Bytes(), err: err}
+	if key != "" && key == c.keys["clinic"] {
+		c.record[a.figure()]++
+	}
+	return a
 }
 
 func (c *cluster) url(entry, path string) string { return "http://" + c.addresses[entry] + path }
--- a/internal/e2e/failure_test.go
+++ b/internal/e2e/failure_test.go
@@ -412,7 +412,7 @@
 		a := c.send("POST", "http://"+c.addresses["instances"]+lab.PathLeaving+"?name="+name, "", nil)
 		require.Equal(t, 200, a.status)
 	}
-	c.signal("entry-2", syscall.SIGTERM)
+	require.Contains(t, c.must("drain", "--settings", c.settings("entry-2")), "shutting down")
 	time.Sleep(4 * time.Second)
 	for _, name := range gone {
 		c.kill(name)
--- a/internal/e2e/helper_test.go
+++ b/internal/e2e/helper_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"encoding/json"
 	"os"
 	"strings"
 	"testing"
@@ -24,3 +25,21 @@
 	}
 	return true
 }
+
+// addFigures adds a customer's counts of a sealed window; tokens are left out.
+func addFigures(t *testing.T, sealed, customer string, into map[string]int) {
+	t.Helper()
+	var wire struct {
+		Figures []struct {
+			Customer string `json:"customer"`
+			Kind     string `json:"kind"`
+			Value    int    `json:"value"`
+		} `json:"figures"`
+	}
+	require.NoError(t, json.Unmarshal([]byte(sealed), &wire))
+	for _, f := range wire.Figures {
+		if f.Customer == customer && !strings.HasSuffix(f.Kind, "tokens") {
+			into[f.Kind] += f.Value
+		}
+	}
+}
--- a/internal/e2e/path_test.go
+++ b/internal/e2e/path_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"maps"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -89,6 +90,24 @@
 		}
 	})
 
+	t.Run("the account equals what the caller saw, to the request", func(t *testing.T) {
+		delete(c.record, "refused:unauthenticated")
+		got := map[string]int{}
+		defer func() { require.Equal(t, c.record, got) }()
+		c.eventually("the reported windows hold every request", func() bool {
+			var s struct {
+				Windows map[string]string `json:"windows"`
+			}
+			c.seen("usage", &s)
+			clear(got)
+			for _, sealed := range s.Windows {
+				addFigures(t, sealed, "clinic", got)
+			}
+			return maps.Equal(c.record, got)
+		})
+		require.Contains(t, c.must("account", "--settings", c.settings("entry-0")), `"figures"`)
+	})
+
 	t.Run("no backend server saw a key", func(t *testing.T) {
 		for _, name := range []string{"route-llm-0", "route-llm-1", "route-llm-2", "returns-app-0", "returns-app-1"} {
 			var s struct {
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -220,7 +221,8 @@
 
 // Do runs a request and gives its answer to the sink. The error's kind tells
 // truthfully whether the request ran. Once the sink was begun, an error means
-// that the answer is truncated.
+// that the answer is truncated. Every end is counted in the ledger, but for an
+// AlreadyRunError, which may still be answered with a stored answer.
 func (f *Forwarder) Do(ctx context.Context, r *Request, sink Sink) error {
 	f.running.Add(1)
 	defer f.running.Add(-1)
@@ -230,7 +232,8 @@
 	ctx, cancel := context.WithTimeout(f.detached(ctx, r), r.profile.Deadline())
 	defer cancel()
 	err := f.run(ctx, c)
-	if err != nil {
+	var ran *AlreadyRunError
+	if err != nil && !errors.As(err, &ran) {
 		c.entry.Refuse(failure.KindOf(err).String())
 	}
 	return err
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -94,6 +94,9 @@
 	return r.customer.Name()
 }
 
+// ServiceName returns the service that is asked for.
+func (r *Request) ServiceName() string { return r.service.Name() }
+
 // OpenCustomer stands for callers of routes that are open to all.
 const OpenCustomer = "open"
 
--- a/internal/usage/ledger.go
+++ b/internal/usage/ledger.go
@@ -14,6 +14,7 @@
 // Kinds of figures. Refusals are counted as RefusedPrefix with the kind.
 const (
 	Requests      = "requests"
+	Replayed      = "replayed"
 	PromptTokens  = "prompt-tokens"
 	OutputTokens  = "output-tokens"
 	RefusedPrefix = "refused:"
@@ -68,6 +69,13 @@
 	})
 }
 
+// Replay counts a request that got the stored answer of an earlier one.
+func (e *Entry) Replay() {
+	e.close(func(w window) {
+		w[figure{e.customer, e.service, Replayed}]++
+	})
+}
+
 // Refuse counts a request that got no whole answer, by its kind.
 func (e *Entry) Refuse(kind string) {
 	e.close(func(w window) {
