Wrong arguments end in one sentence and exit code 2

Cause: tried wrong on purpose, an unknown command ended with exit code 0, and a missing flag with 1 and a page of help.

Ruled out: the library's hook for unknown commands (it reports, and the run still counts as good). Change: every command takes one handler for wrong usage, and a group without an action of its own refuses names it does not know.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -41,20 +41,34 @@
 		Writer:         out,
 		ErrWriter:      problems,
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
-		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
-			return &usageError{err}
-		},
-		CommandNotFound: func(_ context.Context, _ *cli.Command, name string) {
-			fmt.Fprintf(problems, "cactusspoke: there is no command %q\n", name)
-		},
 		Commands: []*cli.Command{
 			runCommand(), settingsCommand(), profileCommand(), serviceCommand(), customerCommand(),
 			keyCommand(), statusCommand(), accountCommand(), drainCommand(),
 		},
 	}
+	strictly(root)
 	return exitCode(root.Run(ctx, args), problems)
 }
 
+// strictly makes wrong arguments of a command and of all below it end in one
+// sentence and the exit code for them.
+func strictly(c *cli.Command) {
+	c.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error {
+		return &usageError{err}
+	}
+	if c.Action == nil {
+		c.Action = func(_ context.Context, c *cli.Command) error {
+			if c.Args().Present() {
+				return usagef("there is no command %q", c.Args().First())
+			}
+			return cli.ShowSubcommandHelp(c)
+		}
+	}
+	for _, sub := range c.Commands {
+		strictly(sub)
+	}
+}
+
 type usageError struct{ cause error }
 
 func (e *usageError) Error() string { return e.cause.Error() }
