A test for ending running work of a withdrawn key

Cause: docs/OPERATORS.md describes on-withdrawal=end, and no test brought it about. Ruled out: nothing; the code was as described. Change: a stream without end is cut after its key is withdrawn, its last event names the kind and says that whether it ran is unknown, and the caller's client sees it truncated.

--- a/internal/e2e/failure_test.go
+++ b/internal/e2e/failure_test.go
@@ -182,6 +182,27 @@
 		require.Contains(t, c.must("profile", "history", "--settings", settings, "returns-app-profile"), `"edit":3`)
 	})
 
+	t.Run("a profile may end running work of a withdrawn key", func(t *testing.T) {
+		c.must("profile", "edit", "--settings", settings, "--set", "on-withdrawal=end", "route-llm-profile")
+		key := strings.Fields(c.must("key", "grant", "--settings", settings, "--customer", "caterer"))[0]
+		c.keys["extra"] = key
+		c.eventually("entry-1 takes the key", func() bool { return c.chat("entry-1", "extra").status == 200 })
+		caller, err := client.New([]string{c.addresses["entry-1"]}, key, "")
+		require.NoError(t, err)
+		call := client.NewCall("POST", "/v1/chat/completions",
+			[]byte(`{"model":"route-llm","stream":true,"max_tokens":20000,"messages":[{"role":"user","content":"without end"}]}`))
+		last := ""
+		var withdraw sync.Once
+		err = caller.Stream(t.Context(), call, func(data []byte) error {
+			last = string(data)
+			withdraw.Do(func() { c.must("key", "withdraw", "--settings", settings, "--customer", "caterer", key) })
+			return nil
+		})
+		require.ErrorIs(t, err, client.ErrTruncated)
+		require.Contains(t, last, `"kind":"withdrawn-while-running"`)
+		require.Contains(t, last, `"ran":"unknown"`)
+	})
+
 	t.Run("an outage: serving goes on, what needs the store says not run, a withdrawal holds", func(t *testing.T) {
 		c.fault("store", `{"frozen":true}`)
 		require.Equal(t, 200, c.chat("entry-0", "caterer").status)
