--- /dev/null
+++ b/internal/batch/ledger.go
@@ -0,0 +1,372 @@
+package batch
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"cactusspoke/internal/kv"
+)
+
+const (
+	// submitTries and submitPause bound how often an unanswered write of a job
+	// is sent again under the same condition.
+	submitTries = 3
+	submitPause = 30 * time.Millisecond
+	// cachedRecords bounds the records that an instance remembers.
+	cachedRecords = 512
+	// cachedJobs bounds the whole jobs that an instance remembers.
+	cachedJobs = 4
+	// partsPerWrite bounds the size of one write to a few megabytes.
+	partsPerWrite = 4
+)
+
+var (
+	// ErrUnknownJob says that no such job was accepted.
+	ErrUnknownJob = Class.New("no such job")
+	// ErrUnsure says that the outcome could not be found out.
+	ErrUnsure = Class.New("outcome unknown")
+	// ErrForeign says that the job belongs to another customer.
+	ErrForeign = Class.New("job of another customer")
+)
+
+type cachedRecord struct {
+	record   Record
+	revision kv.Revision
+}
+
+// Ledger reads and writes jobs in the store. It is safe for concurrent use.
+type Ledger struct {
+	store kv.Store
+
+	mu      sync.Mutex
+	records map[string]cachedRecord
+	jobs    []*Job
+}
+
+// NewLedger returns a ledger.
+func NewLedger(store kv.Store) *Ledger {
+	return &Ledger{store: store, records: map[string]cachedRecord{}}
+}
+
+// Submit accepts a job once. A nil error says that the job is in the store.
+// kv.ErrRefused says that nothing of it is and that no write is on its way.
+func (l *Ledger) Submit(ctx context.Context, j *Job) error {
+	parts := encodeJob(j)
+	record := Record{j.ID, j.Customer, len(j.Items), len(parts), j.SubmittedAt}
+	for len(parts) > partsPerWrite {
+		if err := l.writeParts(ctx, j.ID, record.Parts-len(parts), parts[:partsPerWrite]); err != nil {
+			return err
+		}
+		parts = parts[partsPerWrite:]
+	}
+	txn := kv.Txn{
+		Conditions: []kv.Condition{{Key: jobKey(j.ID)}},
+		Puts:       []kv.Put{{Key: jobKey(j.ID), Value: encodeRecord(record)}},
+	}
+	for i, part := range parts {
+		txn.Puts = append(txn.Puts, kv.Put{Key: specKey(j.ID, record.Parts-len(parts)+i), Value: part})
+	}
+	return l.accept(ctx, j, record, txn)
+}
+
+func (l *Ledger) writeParts(ctx context.Context, id string, from int, parts [][]byte) error {
+	var txn kv.Txn
+	for i, part := range parts {
+		txn.Puts = append(txn.Puts, kv.Put{Key: specKey(id, from+i), Value: part})
+	}
+	_, err := l.store.Commit(ctx, txn)
+	if err != nil {
+		// Parts without a record are no job, so nothing has been accepted.
+		return kv.Class.New("%w: parts of job: %v", kv.ErrRefused, err)
+	}
+	return nil
+}
+
+func (l *Ledger) accept(ctx context.Context, j *Job, record Record, txn kv.Txn) error {
+	unsure := false
+	for try := range submitTries {
+		if try > 0 {
+			kv.Sleep(ctx, submitPause<<try)
+		}
+		revision, err := l.store.Commit(ctx, txn)
+		switch {
+		case err == nil:
+			l.remember(record, revision)
+			return nil
+		case errors.Is(err, kv.ErrConflict):
+			found, err := l.Find(ctx, j.ID, j.Customer)
+			if err == nil && found.ID == j.ID {
+				return nil
+			}
+			return errors.Join(ErrUnsure, err)
+		case errors.Is(err, kv.ErrForbidden):
+			return err
+		case errors.Is(err, kv.ErrRefused):
+			if !unsure {
+				return err
+			}
+		default:
+			unsure = true
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return ErrUnsure
+}
+
+func (l *Ledger) remember(r Record, revision kv.Revision) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.records) >= cachedRecords {
+		clear(l.records)
+	}
+	l.records[r.ID] = cachedRecord{r, revision}
+}
+
+// Find returns the record of a customer's job.
+func (l *Ledger) Find(ctx context.Context, id, customer string) (Record, error) {
+	found, err := l.find(ctx, id)
+	if err != nil {
+		return Record{}, err
+	}
+	if found.record.Customer != customer {
+		return Record{}, ErrForeign
+	}
+	return found.record, nil
+}
+
+func (l *Ledger) find(ctx context.Context, id string) (cachedRecord, error) {
+	l.mu.Lock()
+	found, ok := l.records[id]
+	l.mu.Unlock()
+	if ok {
+		return found, nil
+	}
+	item, _, err := l.store.Get(ctx, jobKey(id))
+	if errors.Is(err, kv.ErrNotFound) {
+		return cachedRecord{}, ErrUnknownJob
+	}
+	if err != nil {
+		return cachedRecord{}, err
+	}
+	record, err := decodeRecord(id, item.Value)
+	if err != nil {
+		return cachedRecord{}, err
+	}
+	l.remember(record, item.Revision)
+	return cachedRecord{record, item.Revision}, nil
+}
+
+// End marks a customer's job as ended; repeating it changes nothing.
+func (l *Ledger) End(ctx context.Context, id, customer string) error {
+	if _, err := l.Find(ctx, id, customer); err != nil {
+		return err
+	}
+	txn := kv.Txn{
+		Conditions: []kv.Condition{{Key: endKey(id)}},
+		Puts:       []kv.Put{{Key: endKey(id), Value: []byte("ended")}},
+	}
+	var err error
+	for try := range submitTries {
+		if try > 0 {
+			kv.Sleep(ctx, submitPause<<try)
+		}
+		_, err = l.store.Commit(ctx, txn)
+		if err == nil || errors.Is(err, kv.ErrConflict) {
+			return nil
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return err
+}
+
+// Load returns a job's content.
+func (l *Ledger) Load(ctx context.Context, id string) (*Job, error) {
+	l.mu.Lock()
+	for _, j := range l.jobs {
+		if j.ID == id {
+			l.mu.Unlock()
+			return j, nil
+		}
+	}
+	l.mu.Unlock()
+	found, err := l.find(ctx, id)
+	if err != nil {
+		return nil, err
+	}
+	parts := make([][]byte, 0, found.record.Parts)
+	for part := range found.record.Parts {
+		item, _, err := l.store.Get(ctx, specKey(id, part))
+		if err != nil {
+			return nil, err
+		}
+		parts = append(parts, item.Value)
+	}
+	job, err := decodeJob(found.record, parts)
+	if err != nil {
+		return nil, err
+	}
+	return job, nil
+}
+
+// Item returns the body of an item of a customer's job.
+func (l *Ledger) Item(ctx context.Context, id, customer, item string) ([]byte, bool, error) {
+	if _, err := l.Find(ctx, id, customer); err != nil {
+		return nil, false, err
+	}
+	job, err := l.Load(ctx, id)
+	if err != nil {
+		return nil, false, err
+	}
+	l.keepJob(job)
+	for i := range job.Items {
+		if job.Items[i].ID == item {
+			return job.Items[i].Body, true, nil
+		}
+	}
+	return nil, false, nil
+}
+
+func (l *Ledger) keepJob(j *Job) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, kept := range l.jobs {
+		if kept.ID == j.ID {
+			return
+		}
+	}
+	if len(l.jobs) >= cachedJobs {
+		l.jobs = l.jobs[1:]
+	}
+	l.jobs = append(l.jobs, j)
+}
+
+// Results returns the results of a job from a position on. It waits up to
+// wait for the first of them.
+func (l *Ledger) Results(ctx context.Context, id string, after int, wait time.Duration) ([]Result, error) {
+	from := ""
+	if after > 0 {
+		from = chunkKey(id, after-1)
+	}
+	page, err := l.store.Range(ctx, resultsOf(id), from)
+	if err != nil {
+		return nil, err
+	}
+	items := page.Items
+	if len(items) == 0 && after > 0 || len(items) > 0 && startsAfter(items[0], after) {
+		items, page.At, err = l.from(ctx, id, page.At)
+		if err != nil {
+			return nil, err
+		}
+	}
+	results, err := collect(items, after)
+	if err != nil || len(results) > 0 || wait <= 0 {
+		return results, err
+	}
+	events, _, err := l.store.Watch(ctx, resultsOf(id), page.At, wait)
+	if errors.Is(err, kv.ErrCompacted) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	return collect(events, after)
+}
+
+// from lists all chunks; it serves positions inside a chunk.
+func (l *Ledger) from(ctx context.Context, id string, at kv.Revision) ([]kv.Item, kv.Revision, error) {
+	items, seen, err := kv.All(ctx, l.store, resultsOf(id))
+	return items, max(seen, at), err
+}
+
+func startsAfter(item kv.Item, position int) bool {
+	at, err := chunkPosition(item.Key)
+	return err != nil || at > position
+}
+
+// collect returns the results from a position on, up to the first gap.
+func collect(items []kv.Item, after int) ([]Result, error) {
+	var out []Result
+	next := after
+	for _, item := range items {
+		if item.Deleted {
+			continue
+		}
+		position, err := chunkPosition(item.Key)
+		if err != nil {
+			return nil, err
+		}
+		if position > next {
+			break
+		}
+		results, err := decodeResults(item.Value)
+		if err != nil {
+			return nil, err
+		}
+		if position+len(results) <= next {
+			continue
+		}
+		out = append(out, results[next-position:]...)
+		next = position + len(results)
+	}
+	return out, nil
+}
+
+// Fence is the condition under which the holder of a duty writes.
+type Fence = kv.Condition
+
+// Append adds results at a position. The write is the same each time it is
+// tried, so an unanswered one is resolved by trying again.
+func (l *Ledger) Append(ctx context.Context, fence Fence, id string, position int, results []Result) error {
+	key := chunkKey(id, position)
+	data := encodeResults(results)
+	_, err := l.store.Commit(ctx, kv.Txn{
+		Conditions: []kv.Condition{fence, {Key: key}},
+		Puts:       []kv.Put{{Key: key, Value: data}},
+	})
+	if !errors.Is(err, kv.ErrConflict) {
+		return err
+	}
+	item, _, failed := l.store.Get(ctx, key)
+	if failed == nil && string(item.Value) == string(data) {
+		return nil
+	}
+	if failed != nil && !errors.Is(failed, kv.ErrNotFound) {
+		return errors.Join(ErrUnsure, failed)
+	}
+	return err
+}
+
+// Delete removes a job whose results need not be readable any more.
+func (l *Ledger) Delete(ctx context.Context, fence Fence, id string) error {
+	found, err := l.find(ctx, id)
+	if err != nil {
+		return err
+	}
+	chunks, _, err := kv.All(ctx, l.store, resultsOf(id))
+	if err != nil {
+		return err
+	}
+	txn := kv.Txn{Conditions: []kv.Condition{fence}, Deletes: []string{endKey(id)}}
+	for part := range found.record.Parts {
+		txn.Deletes = append(txn.Deletes, specKey(id, part))
+	}
+	for _, chunk := range chunks {
+		txn.Deletes = append(txn.Deletes, chunk.Key)
+	}
+	const most = 30 // the store takes 32 entries a write, of which one is the condition
+	for len(txn.Deletes) > most {
+		if _, err := l.store.Commit(ctx, kv.Txn{Conditions: txn.Conditions, Deletes: txn.Deletes[:most]}); err != nil {
+			return err
+		}
+		txn.Deletes = txn.Deletes[most:]
+	}
+	txn.Deletes = append(txn.Deletes, jobKey(id))
+	_, err = l.store.Commit(ctx, txn)
+	return err
+}
--- /dev/null
+++ b/internal/cli/node.go
@@ -0,0 +1,58 @@
+package cli
+
+import (
+	"context"
+	"runtime/debug"
+
+	"cactusspoke/internal/logs"
+	"cactusspoke/internal/node"
+	"cactusspoke/platform"
+
+	"github.com/urfave/cli/v3"
+	"go.uber.org/zap"
+)
+
+const (
+	// gcPercent trades processor time for memory, which is paid for.
+	gcPercent = 60
+	// memoryShare is the share of the machine's memory that the collector aims
+	// to stay under.
+	memoryShare = 0.7
+)
+
+// runner is a role of a process on the platform.
+type runner interface {
+	Run(ctx context.Context) error
+}
+
+func entryCommand() *cli.Command {
+	return nodeCommand("entry", "run an entry instance beside a platform's store", func(s *node.Settings, log *zap.Logger) runner {
+		return node.NewEntry(s, platform.Adapter(), log)
+	})
+}
+
+func schedulerCommand() *cli.Command {
+	return nodeCommand("scheduler", "run a node that may hold the duties", func(s *node.Settings, log *zap.Logger) runner {
+		return node.NewScheduler(s, platform.Adapter(), log)
+	})
+}
+
+func nodeCommand(name, usage string, build func(*node.Settings, *zap.Logger) runner) *cli.Command {
+	return &cli.Command{
+		Name: name, Usage: usage,
+		Flags: []cli.Flag{&cli.StringFlag{Name: "log-level", Value: "info", Usage: "least level of the lines in the log"}},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			s, err := platform.LoadSettings(platform.SettingsPath())
+			if err != nil {
+				return err
+			}
+			debug.SetGCPercent(gcPercent)
+			debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryLimit)))
+			log, err := logs.New(c.String("log-level"))
+			if err != nil {
+				return err
+			}
+			return build(s, log).Run(ctx)
+		},
+	}
+}
--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -28,7 +28,7 @@
 const (
 	// dialTimeout bounds the opening of a connection; addresses of the system
 	// are at most some milliseconds away.
-	dialTimeout = time.Second
+	dialTimeout = 300 * time.Millisecond
 	// keepAliveProbe is the pause before and between keep-alive probes: a
 	// silent connection is noticed after about three of them.
 	keepAliveProbe = time.Second
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -21,6 +21,9 @@
 	Versions string
 	// Priority ranks a request at a model engine.
 	Priority string
+	// Load tells running requests, waiting requests and slots of a backend
+	// server, separated by commas.
+	Load string
 	// LengthHint is a caller's estimate of the number of output tokens.
 	LengthHint string
 	// LastEventID asks a stream to resume after an event.
@@ -43,5 +46,4 @@
 	JobResults string
 	JobItem    string
 	JobEnd     string
-	// Health prefixes nothing; it is set by each service.
 }
--- /dev/null
+++ b/internal/scheduler/policy.go
@@ -0,0 +1,97 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// crowding is what each running text adds to the time of a token at a
+	// server, as a share: engines slow down a little as their batch grows.
+	crowding = 0.03
+	// staleness is what an older version of the weights adds to the score of a
+	// server, as a share: the trainer prefers texts of the newest version.
+	staleness = 0.05
+	// firstSpeed is assumed of a server that has made no event yet, in
+	// milliseconds an event.
+	firstSpeed = 36
+)
+
+// waiting is a text that waits for a place, as the policy sees it.
+type waiting struct {
+	index int
+	due   time.Time
+	// carried texts belong to groups that the trainer waits for in any case.
+	carried bool
+	// left is the expected number of tokens that are still to be made.
+	left int
+	min  int64
+}
+
+// place is a server that has room, as the policy sees it.
+type place struct {
+	id      string
+	free    int
+	running int
+	version int64
+	// speed is in milliseconds an event.
+	speed float64
+}
+
+// assignment puts a waiting text at a server.
+type assignment struct {
+	index  int
+	server string
+}
+
+// rank orders waiting texts: steps that are due first, then groups carried
+// over from an earlier step, then the longest texts, since a step is as late
+// as its last long text.
+func rank(texts []waiting) {
+	slices.SortStableFunc(texts, func(a, b waiting) int {
+		if d := a.due.Compare(b.due); d != 0 {
+			return d
+		}
+		if a.carried != b.carried {
+			if a.carried {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(b.left, a.left)
+	})
+}
+
+// assign puts ranked texts at servers with room. The longest texts get the
+// fastest servers.
+func assign(texts []waiting, places []place) []assignment {
+	var out []assignment
+	newest := int64(0)
+	for _, p := range places {
+		newest = max(newest, p.version)
+	}
+	for _, t := range texts {
+		best := -1
+		score := 0.0
+		for i, p := range places {
+			if p.free <= 0 || p.version < t.min {
+				continue
+			}
+			at := p.speed * (1 + crowding*float64(p.running))
+			if p.version < newest {
+				at *= 1 + staleness
+			}
+			if best < 0 || at < score {
+				best, score = i, at
+			}
+		}
+		if best < 0 {
+			continue
+		}
+		places[best].free--
+		places[best].running++
+		out = append(out, assignment{t.index, places[best].id})
+	}
+	return out
+}
