A SIGHUP reads the settings again instead of ending the process

Ruled out: a crash, the logs end without a reason. Change: the signal is caught, settings are read and checked, unreadable ones leave the last good ones in force.

--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -52,6 +52,9 @@
 			if err != nil {
 				return err
 			}
+			watchReload(ctx, platform.SettingsPath(), log, func(next *node.Settings) {
+				debug.SetMemoryLimit(int64(memoryShare * float64(next.MemoryLimit)))
+			})
 			return build(s, log).Run(ctx)
 		},
 	}
