Texts leave slow engines, and no result is made by weights that went back

Ruled out: the texts kept for carried-over groups, whose versions are checked. Change: an event under the job's least version ends the run before it is taken in; orders carry the number of orders that the engine has accepted; engines that load get no texts; long texts go on at a faster engine with room; only broken connections, not time-outs, make a request a suspect.

--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -49,8 +49,10 @@
 	runs    int
 	refused int
 	counted bool
-	failed  *wholeAnswer
-	reason  string
+	// lost says that the last try ended with its connection.
+	lost   bool
+	failed *wholeAnswer
+	reason string
 }
 
 type wholeAnswer struct {
@@ -102,7 +104,7 @@
 		case verdictFailed:
 			p.ran = true
 			p.runs++
-			if p.failed == nil && ctx.Err() == nil {
+			if p.lost {
 				s.Poison.Suspect(fingerprint)
 			}
 			if !r.route.Idempotent() {
@@ -125,7 +127,7 @@
 			reason = "no server takes it"
 		}
 		s.refuse(c, r, http.StatusServiceUnavailable, comeBackSoon, reason)
-	case ctx.Err() != nil:
+	case time.Until(r.deadline) <= lastMargin:
 		s.refuse(c, r, http.StatusGatewayTimeout, 0, "out of time: "+p.reason)
 	default:
 		s.refuse(c, r, http.StatusBadGateway, 0, p.reason)
@@ -138,6 +140,7 @@
 	ctx, cancel := context.WithDeadline(ctx, s.tryUntil(r, p))
 	defer cancel()
 	sentAt := time.Now()
+	p.lost = false
 	response, err := s.Backends.Do(ctx, server.Address, s.request(c, r, server))
 	if err != nil {
 		p.reason = err.Error()
@@ -145,6 +148,7 @@
 			handle.Done(pool.Failed)
 			return verdictNotRun
 		}
+		p.lost = ctx.Err() == nil
 		s.lost(ctx, handle)
 		s.count(r, p, sentAt)
 		return verdictFailed
@@ -277,6 +281,7 @@
 func (s *Server) whole(ctx context.Context, c *app.RequestContext, r *call, p *progress, handle *pool.Handle, response *http1.Response) verdict {
 	body, err := response.ReadAll(wholeLimit)
 	if err != nil {
+		p.lost = ctx.Err() == nil
 		s.lost(ctx, handle)
 		p.reason = "answer broke off: " + err.Error()
 		return verdictFailed
--- a/internal/node/scheduler.go
+++ b/internal/node/scheduler.go
@@ -109,7 +109,7 @@
 	group.start("servers", kv.NewFollower(store, n.adapter.ServersPrefix, schedulerPace, servers, n.log).Run)
 	ran := group.startIn(ctx, "items", work.Run)
 	group.start("jobs", kv.NewFollower(store, batch.JobPrefix, 0, work.JobView(), n.log).Run)
-	group.start("weights", scheduler.NewMover(parts, orders, token).Run)
+	group.start("weights", scheduler.NewMover(parts, orders, token, work.Avoid).Run)
 	group.start("usage", meter.NewReporter(store, s.UsageWindow, s.UsageDue, orders.Usage, held.Valid, fence, n.log).Run)
 	<-ctx.Done()
 	<-ran
--- a/internal/scheduler/policy.go
+++ b/internal/scheduler/policy.go
@@ -13,6 +13,22 @@
 	// staleness is what an older version of the weights adds to the score of a
 	// server, as a share: the trainer prefers texts of the newest version.
 	staleness = 0.05
+	// measuredEvents is how many events of a run tell its speed.
+	measuredEvents = 4
+	// worthMoving is how many times slower than at the best engine with room a
+	// text must run to be moved there: the prompt is read again, which takes
+	// some 20 ms.
+	worthMoving = 1.22
+	// longText is how many events make a text one of those that a step waits
+	// for; shorter ones end soon wherever they are.
+	longText = 30
+	// worthMovingShort is worthMoving for shorter texts.
+	worthMovingShort = 2.2
+	// stalledPauses is how many usual pauses without an event make a run slow.
+	stalledPauses = 3
+	// speedMemory is the time after which a measured speed has lost most of its
+	// weight, so that an engine that was slow gets work again.
+	speedMemory = 6 * time.Second
 	// firstSpeed is assumed of a server that has made no event yet, in
 	// milliseconds an event.
 	firstSpeed = 36
@@ -31,7 +47,8 @@
 
 // place is a server that has room, as the policy sees it.
 type place struct {
-	id      string
+	id string
+	// free is how many more texts fit.
 	free    int
 	running int
 	version int64
@@ -95,3 +112,21 @@
 	}
 	return out
 }
+
+// better returns the place where a running text would be made much faster.
+func better(speed float64, events int, at string, min int64, places []place) (int, bool) {
+	best := -1
+	score := speed / worthMoving
+	if events < longText {
+		score = speed / worthMovingShort
+	}
+	for i, p := range places {
+		if p.id == at || p.free <= 0 || p.version < min {
+			continue
+		}
+		if expected := p.speed * (1 + crowding*float64(p.running)); expected < score {
+			best, score = i, expected
+		}
+	}
+	return best, best >= 0
+}
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -21,10 +21,10 @@
 const (
 	// firstEventTimeout bounds the wait for a text's first event: prompts are
 	// read in some milliseconds, an engine that loads refuses.
-	firstEventTimeout = 2500 * time.Millisecond
+	firstEventTimeout = 1200 * time.Millisecond
 	// eventTimeout bounds the pause between two events; a slow engine takes
-	// some 150 ms, a preempted text somewhat longer.
-	eventTimeout = 1200 * time.Millisecond
+	// some 200 ms, a preempted text somewhat longer.
+	eventTimeout = 700 * time.Millisecond
 	// maxLine bounds one line of an event in bytes.
 	maxLine = 1 << 20
 )
@@ -100,10 +100,14 @@
 	// single wants all events made by one version.
 	single bool
 	text   *text
-	// made counts events, for decisions while the run goes on.
-	made atomic.Int64
+	// before is how many events the text had when the run began, and made how
+	// many it has added.
+	before int
+	made   atomic.Int64
 	// lastAt is the Unix nanosecond of the last event.
 	lastAt atomic.Int64
+	// gap is the moving average of the pause between events in nanoseconds.
+	gap    atomic.Int64
 	reason string
 }
 
@@ -221,9 +225,12 @@
 				*r.text = text{}
 				return outcomeBroken
 			}
+			if version < r.job.MinVersion {
+				r.reason = "weights went back to version " + strconv.FormatInt(version, 10)
+				return outcomeStale
+			}
 			r.text.add(version, data)
-			r.made.Add(1)
-			r.lastAt.Store(time.Now().UnixNano())
+			r.progress(time.Now().UnixNano())
 			watchdog.Reset(eventTimeout)
 			started, data, id = false, data[:0], 0
 			continue
@@ -249,6 +256,31 @@
 	}
 }
 
+// progress notes an event. The first pause of a run holds the reading of its
+// prompt and does not count.
+func (r *run) progress(now int64) {
+	if pause := now - r.lastAt.Swap(now); r.made.Add(1) > 1 {
+		old := r.gap.Load()
+		if old == 0 {
+			old = pause
+		}
+		r.gap.Store(old + int64(speedShare*float64(pause-old)))
+	}
+}
+
+// speed returns the run's milliseconds an event, the pause that goes on now
+// included; 0 where too little is known.
+func (r *run) speed(now time.Time) float64 {
+	if r.made.Load() < measuredEvents {
+		return 0
+	}
+	pause := r.gap.Load()
+	if waited := now.UnixNano() - r.lastAt.Load(); waited > stalledPauses*pause {
+		pause = waited
+	}
+	return float64(pause) / float64(time.Millisecond)
+}
+
 // readLine returns a line without its end; a line that is cut off is an error.
 func readLine(reader *bufio.Reader) ([]byte, error) {
 	line, err := reader.ReadSlice('\n')
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -36,6 +37,8 @@
 	refusedPause = 120 * time.Millisecond
 	// brokenPause keeps an engine that broke off from getting others.
 	brokenPause = 700 * time.Millisecond
+	// observeEvery is how often a run's speed is taken in.
+	observeEvery = 200 * time.Millisecond
 	// speedShare is the weight of a new measurement of an engine's speed.
 	speedShare = 0.3
 	// stashFor is how long the text of an ended job is kept for a later job
@@ -82,8 +85,11 @@
 	failures int
 	carried  bool
 	whole    bool
-	cancel   context.CancelFunc
-	run      *run
+	// moving tasks were stopped to go on at a faster engine.
+	moving     bool
+	observedAt time.Time
+	cancel     context.CancelFunc
+	run        *run
 }
 
 // job is a batch job in progress.
@@ -104,9 +110,24 @@
 	ended      bool
 }
 
+// engine is what runs have shown of a model engine.
 type engine struct {
-	speed     float64
-	coldUntil time.Time
+	speed      float64
+	measuredAt time.Time
+	coldUntil  time.Time
+}
+
+// measure notes the milliseconds an event that a run takes.
+func (e *engine) measure(now time.Time, speed float64) {
+	e.speed = e.expected(now)
+	e.speed += speedShare * (speed - e.speed)
+	e.measuredAt = now
+}
+
+// expected returns the milliseconds an event that a new run will take.
+func (e *engine) expected(now time.Time) float64 {
+	weight := math.Exp(-float64(now.Sub(e.measuredAt)) / float64(speedMemory))
+	return firstSpeed + (e.speed-firstSpeed)*weight
 }
 
 type stashed struct {
@@ -167,6 +188,11 @@
 	}
 }
 
+// Avoid keeps an engine from getting texts until a time.
+func (s *Scheduler) Avoid(server string, until time.Time) {
+	s.post(func() { s.engine(server).coldUntil = until })
+}
+
 // Kick makes the loop look again.
 func (s *Scheduler) Kick() {
 	select {
@@ -359,9 +385,10 @@
 	}
 	byService := map[string][]waiting{}
 	var tasks []*task
+	running := map[string][]*task{}
 	for _, j := range s.jobs {
 		for _, t := range j.tasks {
-			if t.state != taskWaiting {
+			if t.state != taskWaiting && t.state != taskRunning {
 				continue
 			}
 			route, ok := table.Match(j.spec.Host, t.item.Path)
@@ -369,6 +396,10 @@
 				continue
 			}
 			service := route.Pick(0.5)
+			if t.state == taskRunning {
+				running[service] = append(running[service], t)
+				continue
+			}
 			byService[service] = append(byService[service], waiting{
 				index: len(tasks), due: j.due, carried: t.carried, left: t.hint, min: j.spec.MinVersion,
 			})
@@ -379,6 +410,51 @@
 		rank(texts)
 		s.startAll(tasks, texts, service, now)
 	}
+	for service, list := range running {
+		s.observe(list, now)
+		if len(byService[service]) == 0 {
+			s.move(list, service, now)
+		}
+	}
+}
+
+// observe takes in how fast the running texts are made.
+func (s *Scheduler) observe(running []*task, now time.Time) {
+	for _, t := range running {
+		if speed := t.run.speed(now); speed > 0 && now.Sub(t.observedAt) >= observeEvery {
+			t.observedAt = now
+			s.engine(t.run.server.ID).measure(now, speed)
+		}
+	}
+}
+
+// move ends runs at slow engines where a faster one has room; their texts go
+// on there.
+func (s *Scheduler) move(running []*task, service string, now time.Time) {
+	servers := s.Pool.Servers(service)
+	byModel := map[string][]place{}
+	for _, t := range running {
+		speed := t.run.speed(now)
+		if speed == 0 || t.moving {
+			continue
+		}
+		model := t.job.spec.Model
+		if _, ok := byModel[model]; !ok {
+			byModel[model] = s.places(servers, model, now)
+		}
+		i, ok := better(speed, t.run.before+int(t.run.made.Load()), t.run.server.ID, t.job.spec.MinVersion, byModel[model])
+		if !ok {
+			continue
+		}
+		to := byModel[model][i]
+		s.Log.Info("item: moved to a faster engine", zap.String("id", t.item.ID), zap.String("server", t.run.server.ID),
+			zap.Float64("speed", speed), zap.String("to", to.id), zap.Float64("expected", to.speed))
+		for _, list := range byModel {
+			occupy(list, to.id)
+		}
+		t.moving = true
+		t.cancel()
+	}
 }
 
 func (s *Scheduler) startAll(tasks []*task, texts []waiting, service string, now time.Time) {
@@ -419,7 +495,7 @@
 		}
 		out = append(out, place{
 			id: snapshot.Server.ID, free: max(1, snapshot.Server.Slots) - snapshot.Running, running: snapshot.Running,
-			version: snapshot.Server.Models[model], speed: e.speed,
+			version: snapshot.Server.Models[model], speed: e.expected(now),
 		})
 	}
 	return out
@@ -445,29 +521,26 @@
 	t.cancel = cancel
 	t.run = &run{
 		headers: s.Headers, client: s.Backends, job: t.job.spec, item: t.item, server: handle.Server(),
-		until: t.job.until, priority: normal, single: t.job.single, text: t.text,
+		until: t.job.until, priority: normal, single: t.job.single, text: t.text, before: t.text.events,
 	}
 	if t.carried {
 		t.run.priority = urgent
 	}
 	r := t.run
-	startedAt := time.Now()
 	go func() {
 		o := r.do(ctx)
 		cancel()
-		s.post(func() { s.ran(t, r, handle, o, time.Since(startedAt)) })
+		s.post(func() { s.ran(t, r, handle, o) })
 	}()
 }
 
 // ran takes in the end of a run.
-func (s *Scheduler) ran(t *task, r *run, handle *pool.Handle, o outcome, took time.Duration) {
+func (s *Scheduler) ran(t *task, r *run, handle *pool.Handle, o outcome) {
 	e := s.engine(handle.Server().ID)
-	if made := r.made.Load(); made > 3 {
-		e.speed += speedShare * (took.Seconds()*1000/float64(made) - e.speed)
-	}
 	now := time.Now()
 	t.state = taskWaiting
 	t.run = nil
+	t.moving = false
 	if o != outcomeWhole && o != outcomeStopped {
 		s.Log.Info("item: run ended", zap.String("id", t.item.ID), zap.String("server", handle.Server().ID),
 			zap.Int("outcome", int(o)), zap.String("reason", r.reason), zap.Int("events", t.text.events))
--- a/internal/scheduler/weights.go
+++ b/internal/scheduler/weights.go
@@ -1,9 +1,12 @@
 package scheduler
 
 import (
+	"cmp"
 	"context"
+	"errors"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 
 	"cactusspoke/internal/pool"
@@ -16,6 +19,10 @@
 	moveTick = 100 * time.Millisecond
 	// orderTimeout bounds one order.
 	orderTimeout = 800 * time.Millisecond
+	// loadTime is how long an engine takes no new texts while it loads.
+	loadTime = 900 * time.Millisecond
+	// askAgain is the pause before an engine that refused is asked again.
+	askAgain = 300 * time.Millisecond
 	// settleTime is how long an engine may take to carry an order out before it
 	// is asked again: a load takes about a second, its report lags behind.
 	settleTime = 2500 * time.Millisecond
@@ -26,10 +33,22 @@
 	loadersMin = 2
 )
 
+// Report is what an engine says of itself.
+type Report struct {
+	// Orders is the number of orders that it has accepted.
+	Orders int64
+	// Busy says that an order is in progress.
+	Busy bool
+	// Models is the version of the weights by model.
+	Models map[string]int64
+}
+
 // Orders sends the orders of the holder.
 type Orders interface {
+	// Report asks an engine about itself.
+	Report(ctx context.Context, address string) (Report, error)
 	// SetVersion moves an engine to a version of a model's weights.
-	SetVersion(ctx context.Context, instance, address, model string, version int64, retain bool, fence int64) (int, error)
+	SetVersion(ctx context.Context, instance, address, model string, version, expected int64, retain bool, fence int64) (int, error)
 }
 
 // Mover moves engines to the versions that trainers name.
@@ -37,17 +56,19 @@
 	Parts
 	orders Orders
 	fence  int64
+	avoid  func(server string, until time.Time)
+	mu     sync.Mutex
 	asked  map[string]asked
 }
 
 type asked struct {
 	version int64
-	at      time.Time
+	until   time.Time
 }
 
-// NewMover returns the mover of a term.
-func NewMover(parts Parts, orders Orders, fence int64) *Mover {
-	return &Mover{Parts: parts, orders: orders, fence: fence, asked: map[string]asked{}}
+// NewMover returns the mover of a term. avoid is told which engines load.
+func NewMover(parts Parts, orders Orders, fence int64, avoid func(server string, until time.Time)) *Mover {
+	return &Mover{Parts: parts, orders: orders, fence: fence, avoid: avoid, asked: map[string]asked{}}
 }
 
 // Run moves engines until the context ends.
@@ -76,9 +97,33 @@
 
 func (m *Mover) move(ctx context.Context, service string, versions map[string]int64) {
 	servers := m.Pool.Servers(service)
-	now := time.Now()
-	loading := 0
-	var list []behind
+	list, loading := m.behind(servers, versions, time.Now())
+	slices.SortFunc(list, func(a, b behind) int {
+		if a.lag != b.lag {
+			return cmp.Compare(b.lag, a.lag)
+		}
+		return cmp.Compare(a.snapshot.Running, b.snapshot.Running)
+	})
+	most := max(loadersMin, int(loadersShare*float64(len(servers))))
+	asked := map[string]bool{}
+	for _, b := range list {
+		if loading >= most || ctx.Err() != nil {
+			return
+		}
+		if asked[b.snapshot.Server.ID] {
+			continue
+		}
+		asked[b.snapshot.Server.ID] = true
+		loading++
+		m.note(b, time.Now())
+		go m.order(ctx, b)
+	}
+}
+
+// behind returns the engines that are to load a version, and how many load now.
+func (m *Mover) behind(servers []pool.Snapshot, versions map[string]int64, now time.Time) (list []behind, loading int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	for _, s := range servers {
 		if s.Server.Draining {
 			continue
@@ -90,12 +135,7 @@
 			if wanted <= version {
 				continue
 			}
-			a, ok := m.asked[s.Server.ID+"/"+model]
-			if ok && a.version >= wanted && now.Sub(a.at) < settleTime {
-				busy = true
-				continue
-			}
-			if ok && now.Sub(a.at) < settleTime && a.version > version {
+			if a, ok := m.asked[s.Server.ID+"/"+model]; ok && a.version > version && now.Before(a.until) {
 				busy = true
 				continue
 			}
@@ -107,58 +147,90 @@
 		}
 		list = append(list, mine...)
 	}
-	slices.SortFunc(list, func(a, b behind) int {
-		if a.lag != b.lag {
-			return int(b.lag - a.lag)
-		}
-		return a.snapshot.Running - b.snapshot.Running
-	})
-	most := max(loadersMin, int(loadersShare*float64(len(servers))))
-	done := map[string]bool{}
-	for _, b := range list {
-		if loading >= most || ctx.Err() != nil || !m.Valid() {
-			return
-		}
-		if done[b.snapshot.Server.ID] {
-			continue
-		}
-		done[b.snapshot.Server.ID] = true
-		if m.order(ctx, b) {
-			loading++
-		}
-	}
+	return list, loading
 }
 
-// order asks one engine to load a version.
-func (m *Mover) order(ctx context.Context, b behind) bool {
+// note remembers that an engine was asked, until when its answer is awaited.
+func (m *Mover) note(b behind, now time.Time) { m.wait(b, now.Add(settleTime)) }
+
+func (m *Mover) wait(b behind, until time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.asked[b.snapshot.Server.ID+"/"+b.model] = asked{b.version, until}
+}
+
+// order asks one engine to load a version and follows it until it has.
+func (m *Mover) order(ctx context.Context, b behind) {
 	server := b.snapshot.Server
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	m.asked[server.ID+"/"+b.model] = asked{b.version, time.Now()}
-	status, err := m.orders.SetVersion(ctx, server.ID, server.Address, b.model, b.version, m.retain(b.model), m.fence)
+	report, err := m.report(ctx, server.Address)
+	if err != nil {
+		m.Log.Warn("weights: engine does not report", zap.String("server", server.ID), zap.String("reason", err.Error()))
+		m.wait(b, time.Now().Add(askAgain))
+		return
+	}
+	if report.Models[b.model] >= b.version {
+		m.Pool.Learn(server.ID, b.model, report.Models[b.model])
+		return
+	}
+	if report.Busy || !m.Valid() {
+		m.wait(b, time.Now().Add(askAgain))
+		return
+	}
+	m.avoid(server.ID, time.Now().Add(loadTime))
+	status, err := m.send(ctx, b, report.Orders)
 	fields := []zap.Field{
 		zap.String("server", server.ID), zap.String("model", b.model), zap.Int64("version", b.version),
-		zap.Int64("had", server.Models[b.model]), zap.Int("status", status),
+		zap.Int64("had", report.Models[b.model]), zap.Int64("after-orders", report.Orders), zap.Int("status", status),
 	}
 	if err != nil {
+		// The order may still be carried out, so it is awaited like the others.
 		m.Log.Warn("weights: order without an answer", append(fields, zap.String("reason", err.Error()))...)
-		return true
+	} else {
+		m.Log.Info("weights: ordered", fields...)
+	}
+	if err == nil && status != http.StatusOK && status != http.StatusAccepted {
+		m.wait(b, time.Now().Add(askAgain))
+		return
+	}
+	m.follow(ctx, b)
+}
+
+func (m *Mover) report(ctx context.Context, address string) (Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	return m.orders.Report(ctx, address)
+}
+
+// send sends the order, unless the right to do so has ended meanwhile.
+func (m *Mover) send(ctx context.Context, b behind, accepted int64) (int, error) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	if !m.Valid() {
+		return 0, errors.New("no longer the holder of the duty")
 	}
-	m.Log.Info("weights: ordered", fields...)
-	switch status {
-	case http.StatusOK:
-		m.Pool.Learn(server.ID, b.model, b.version)
-	case http.StatusAccepted:
-		return true
-	case http.StatusConflict:
-		m.asked[server.ID+"/"+b.model] = asked{b.version, time.Now().Add(-settleTime + 300*time.Millisecond)}
-		return true
+	server := b.snapshot.Server
+	return m.orders.SetVersion(ctx, server.ID, server.Address, b.model, b.version, accepted, m.retain(), m.fence)
+}
+
+// follow asks an engine until it has loaded, since the list of servers tells
+// a second or two later.
+func (m *Mover) follow(ctx context.Context, b behind) {
+	sleep(ctx, loadTime)
+	for until := time.Now().Add(settleTime - loadTime); time.Now().Before(until) && ctx.Err() == nil; sleep(ctx, loadTime/4) {
+		report, err := m.report(ctx, b.snapshot.Server.Address)
+		if err == nil && report.Models[b.model] >= b.version {
+			m.Pool.Learn(b.snapshot.Server.ID, b.model, report.Models[b.model])
+			m.avoid(b.snapshot.Server.ID, time.Now())
+			return
+		}
+		if err == nil && report.Busy {
+			m.avoid(b.snapshot.Server.ID, time.Now().Add(loadTime/2))
+		}
 	}
-	return false
 }
 
 // retain tells whether running texts may go on under the new version.
-func (m *Mover) retain(string) bool {
+func (m *Mover) retain() bool {
 	for _, route := range m.View.Table().Routes() {
 		if route.SingleVersion {
 			return false
