--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -127,6 +128,27 @@
 	return first(append(near, far...), most)
 }
 
+// Peers returns where the other entry instances are, in random order.
+func (d *Directory) Peers(own string) []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out []string
+	for _, m := range d.members {
+		if m.address != own && m.lost.IsZero() {
+			out = append(out, m.address)
+		}
+	}
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out
+}
+
+// StoreReachable tells whether the last call to the store succeeded.
+func (d *Directory) StoreReachable() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.reachable
+}
+
 func first(list []string, n int) []string { return list[:min(n, len(list))] }
 
 // Registration keeps this instance in the directory.
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -230,21 +230,22 @@
 	}
 }
 
-// dropped names the headers that concern only one connection, and those that
-// the instance sets itself.
-var dropped = map[string]bool{
+// hopHeaders names the headers that concern only one connection.
+var hopHeaders = map[string]bool{
 	"connection": true, "keep-alive": true, "transfer-encoding": true, "te": true, "trailer": true,
 	"upgrade": true, "proxy-connection": true, "proxy-authorization": true, "proxy-authenticate": true,
-	"content-length": true, "host": true, "authorization": true, "expect": true,
+	"content-length": true, "host": true, "expect": true,
 }
 
+// hopByHop tells whether a header concerns only one connection.
+func hopByHop(name string) bool { return hopHeaders[strings.ToLower(name)] }
+
 // request builds what a server gets.
 func (s *Server) request(c *app.RequestContext, r *call, server pool.Server) *http1.Request {
 	out := &http1.Request{Method: r.method, URI: r.uri, Host: r.host, Body: c.Request.Body()}
 	listed := connectionListed(string(c.Request.Header.Peek("Connection")))
 	c.Request.Header.VisitAll(func(name, value []byte) {
-		lower := strings.ToLower(string(name))
-		if dropped[lower] || listed[lower] || s.own(string(name)) {
+		if hopByHop(string(name)) || listed[strings.ToLower(string(name))] || s.own(string(name)) {
 			return
 		}
 		out.Headers = append(out.Headers, http1.Header{Name: string(name), Value: string(value)})
@@ -267,9 +268,10 @@
 	return listed
 }
 
-// own tells whether only the instance may set a header.
+// own tells whether a header of the caller stays here: its key, and what only
+// the instance may set.
 func (s *Server) own(name string) bool {
-	for _, own := range []string{s.Headers.DeadlineMS, s.Headers.ExpectInstance, s.Headers.Customer} {
+	for _, own := range []string{"Authorization", relayHeader, s.Headers.DeadlineMS, s.Headers.ExpectInstance, s.Headers.Customer} {
 		if strings.EqualFold(name, own) {
 			return true
 		}
@@ -317,8 +319,7 @@
 func (s *Server) copyHeaders(c *app.RequestContext, header http.Header) {
 	listed := connectionListed(header.Get("Connection"))
 	for name, values := range header {
-		lower := strings.ToLower(name)
-		if dropped[lower] || listed[lower] {
+		if hopByHop(name) || listed[strings.ToLower(name)] {
 			continue
 		}
 		for _, value := range values {
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -50,6 +50,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, jobCallTimeout)
 	defer cancel()
+	if !s.Directory.StoreReachable() && s.relay(ctx, c, r) {
+		return true
+	}
 	serve(ctx, c, r, id)
 	return true
 }
@@ -74,7 +77,13 @@
 	job.SubmittedAt = r.arrived.UnixMilli()
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
+	if !s.Directory.StoreReachable() && s.relay(ctx, c, r) {
+		return
+	}
 	err = s.Ledger.Submit(ctx, job)
+	if err != nil && !errors.Is(err, kv.ErrForbidden) && s.relay(ctx, c, r) {
+		return
+	}
 	switch {
 	case err == nil:
 		c.SetStatusCode(http.StatusAccepted)
@@ -91,10 +100,11 @@
 
 // jobFailed answers a call about a job that could not be served. It reports
 // whether there was an error.
-func (s *Server) jobFailed(c *app.RequestContext, r *call, err error) bool {
+func (s *Server) jobFailed(ctx context.Context, c *app.RequestContext, r *call, err error) bool {
 	switch {
 	case err == nil:
 		return false
+	case !errors.Is(err, batch.ErrUnknownJob) && !errors.Is(err, batch.ErrForeign) && s.relay(ctx, c, r):
 	case errors.Is(err, batch.ErrUnknownJob), errors.Is(err, batch.ErrForeign):
 		s.refuse(c, r, http.StatusNotFound, 0, err.Error())
 	default:
@@ -106,7 +116,7 @@
 // jobResults answers a read of results.
 func (s *Server) jobResults(ctx context.Context, c *app.RequestContext, r *call, id string) {
 	record, err := s.Ledger.Find(ctx, id, r.customer)
-	if s.jobFailed(c, r, err) {
+	if s.jobFailed(ctx, c, r, err) {
 		return
 	}
 	after, err := strconv.Atoi(c.Query("After"))
@@ -116,7 +126,7 @@
 	var results []batch.Result
 	if after < record.Total {
 		results, err = s.Ledger.Results(ctx, id, after, s.wait(c))
-		if s.jobFailed(c, r, err) {
+		if s.jobFailed(ctx, c, r, err) {
 			return
 		}
 	}
@@ -154,7 +164,7 @@
 		return
 	}
 	body, found, err := s.Ledger.Item(ctx, id, r.customer, query.Get("Id"))
-	if s.jobFailed(c, r, err) {
+	if s.jobFailed(ctx, c, r, err) {
 		return
 	}
 	if !found {
@@ -168,7 +178,7 @@
 
 // jobEnd ends a job.
 func (s *Server) jobEnd(ctx context.Context, c *app.RequestContext, r *call, id string) {
-	if s.jobFailed(c, r, s.Ledger.End(ctx, id, r.customer)) {
+	if s.jobFailed(ctx, c, r, s.Ledger.End(ctx, id, r.customer)) {
 		return
 	}
 	c.SetStatusCode(http.StatusOK)
