Tests of the path beside stand-ins of the platform

They found: the scheduler's context was set after its mailbox could be used (data race); windows shorter than a second were looked at for half a second only. Ruled out: the stand-ins, traced by hand.

--- a/internal/meter/reporter.go
+++ b/internal/meter/reporter.go
@@ -22,9 +22,6 @@
 	settleAfter = 2500 * time.Millisecond
 	// reportPause is the pause between two looks at what is due.
 	reportPause = 500 * time.Millisecond
-	// backlog is how many windows before the current one are looked at after a
-	// change of the holder.
-	backlog = 3
 )
 
 // Send reports one window and returns the status of the answer.
@@ -53,7 +50,7 @@
 	for ctx.Err() == nil {
 		now := time.Now()
 		current := now.UnixNano() / int64(r.window)
-		for id := current - backlog; id < current; id++ {
+		for id := now.Add(-r.due).UnixNano()/int64(r.window) - 1; id < current; id++ {
 			end := time.Unix(0, (id+1)*int64(r.window))
 			late := now.Sub(end)
 			if r.done[id] || late < settleAfter || late > r.due {
--- /dev/null
+++ b/internal/node/cluster_test.go
@@ -0,0 +1,260 @@
+package node_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"testing"
+	"time"
+
+	"cactusspoke/internal/node"
+	"cactusspoke/platform"
+	"cactusspoke/platform/standin"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+)
+
+const (
+	host     = "calls.example"
+	key      = "key-of-a"
+	otherKey = "key-of-b"
+	model    = "model-a"
+	zone     = "zone-1"
+)
+
+// cluster is entry instances and schedulers beside stand-ins of the platform.
+type cluster struct {
+	t       *testing.T
+	store   *standin.Store
+	cloud   *standin.Cloud
+	engines []*standin.Worker
+	plain   []*standin.Worker
+	entries []*process
+	nodes   []*process
+}
+
+// process is a role that runs in this process.
+type process struct {
+	settings *node.Settings
+	door     int
+	stop     context.CancelFunc
+	done     chan struct{}
+}
+
+func newCluster(t *testing.T, entries, schedulers int) *cluster {
+	t.Helper()
+	c := &cluster{t: t, store: standin.NewStore(), cloud: standin.NewCloud()}
+	t.Cleanup(c.cloud.Close)
+	t.Cleanup(c.store.Close)
+	for i := range 2 {
+		c.engines = append(c.engines, standin.NewWorker(c.store, fmt.Sprintf("engine-%d", i), "engines", zone, map[string]int64{model: 1}))
+		c.plain = append(c.plain, standin.NewWorker(c.store, fmt.Sprintf("plain-%d", i), "plain", zone, nil))
+	}
+	for i := range entries {
+		c.entries = append(c.entries, c.start(fmt.Sprintf("entry-%d", i), i, true))
+	}
+	for i := range schedulers {
+		c.nodes = append(c.nodes, c.start(fmt.Sprintf("scheduler-%d", i), entries+i, false))
+	}
+	return c
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (c *cluster) start(name string, door int, entry bool) *process {
+	c.t.Helper()
+	address, closeStore := c.store.Listen(door)
+	s := &node.Settings{
+		Name: name, IP: "127.0.0.1", FailureDomain: zone, Store: address, Cloud: c.cloud.Address,
+		ValueBytes: 1 << 20, LeaseMin: time.Second, Heartbeat: time.Second, Contact: time.Second,
+		HolderGap: time.Second, Thaw: 100 * time.Millisecond, Grace: 3 * time.Second, UsageWindow: time.Second,
+		UsageDue: 10 * time.Second, KeepMax: time.Second, JobStatus: time.Minute, MemoryLimit: 256 << 20,
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	p := &process{settings: s, door: door, stop: stop, done: make(chan struct{})}
+	var run func(context.Context) error
+	if entry {
+		s.Front, s.Ready, s.Directory = freeAddress(c.t), freeAddress(c.t), freeAddress(c.t)
+		run = node.NewEntry(s, platform.Adapter(), zap.NewNop()).Run
+	} else {
+		run = node.NewScheduler(s, platform.Adapter(), zap.NewNop()).Run
+	}
+	go func() {
+		defer close(p.done)
+		_ = run(ctx)
+	}()
+	c.t.Cleanup(func() {
+		stop()
+		<-p.done
+		closeStore()
+	})
+	return p
+}
+
+type routes map[string]map[string]any
+
+// configure writes a configuration; changes replace fields of routes by name.
+func (c *cluster) configure(version int, changes routes) {
+	all := []map[string]any{
+		{"Name": "safe", "Host": host, "Prefix": "/safe/", "Kind": "safe", "TimeoutMs": 900, "GoalMs": 100, "MaxAttempts": 2, "Service": "plain"},
+		{"Name": "unsafe", "Host": host, "Prefix": "/unsafe/", "Kind": "unsafe", "TimeoutMs": 900, "GoalMs": 100, "MaxAttempts": 2, "Service": "plain"},
+		{"Name": "score", "Host": host, "Prefix": "/score/", "Kind": "safe", "TimeoutMs": 900, "GoalMs": 100, "MaxAttempts": 3, "Service": "plain", "Public": true},
+		{"Name": "stream", "Host": host, "Prefix": "/stream/", "Kind": "streaming", "TimeoutMs": 5000, "GoalMs": 100, "MaxAttempts": 1, "Service": "engines"},
+		{
+			"Name": "jobs", "Host": host, "Prefix": "/jobs/", "Kind": "rollout", "TimeoutMs": 5000, "GoalMs": 500,
+			"MaxAttempts": 3, "Service": "engines", "DueMs": 5000, "RetainS": 30,
+		},
+	}
+	for _, r := range all {
+		for name, value := range changes[r["Name"].(string)] {
+			r[name] = value
+		}
+	}
+	c.store.Put(platform.ConfigKey, map[string]any{
+		"Version": version, "Routes": all,
+		"Services": []map[string]any{
+			{"Name": "plain", "HealthPath": "/health", "MaxConns": 50},
+			{"Name": "engines", "HealthPath": "/health", "MaxConns": 50, "Engine": map[string]any{"Models": []map[string]any{{"Name": model}}}},
+		},
+		"Limits":  map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 1 << 20},
+		"Tenants": []map[string]any{{"Name": "a", "ApiKeys": []string{key}}, {"Name": "b", "ApiKeys": []string{otherKey}}},
+	})
+}
+
+// ready waits until every entry instance reports that it is ready.
+func (c *cluster) ready() {
+	c.t.Helper()
+	for _, p := range c.entries {
+		c.eventually(func() bool { return c.status("http://"+p.settings.Ready+platform.Paths().Ready) == http.StatusOK })
+		c.eventually(func() bool {
+			return c.call(p, http.MethodPost, "/safe/first", "warm", key, nil, nil).status == http.StatusOK
+		})
+	}
+}
+
+func (c *cluster) eventually(done func() bool) {
+	c.t.Helper()
+	require.Eventually(c.t, done, 10*time.Second, 10*time.Millisecond)
+}
+
+func (c *cluster) status(address string) int {
+	response, err := http.Get(address)
+	if err != nil {
+		return 0
+	}
+	defer response.Body.Close()
+	return response.StatusCode
+}
+
+type answer struct {
+	status int
+	body   string
+	header http.Header
+	err    error
+	took   time.Duration
+}
+
+// call sends a request to an entry instance.
+func (c *cluster) call(p *process, method, path, id, withKey string, body []byte, headers map[string]string) answer {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	return c.callIn(ctx, p, method, path, id, withKey, body, headers)
+}
+
+func (c *cluster) callIn(ctx context.Context, p *process, method, path, id, withKey string, body []byte, headers map[string]string) answer {
+	started := time.Now()
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+p.settings.Front+path, bytes.NewReader(body))
+	require.NoError(c.t, err)
+	request.Host = host
+	h := platform.Headers()
+	request.Header.Set(h.RequestID, id)
+	if withKey != "" {
+		request.Header.Set("Authorization", "Bearer "+withKey)
+	}
+	for name, value := range headers {
+		request.Header.Set(name, value)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return answer{err: err, took: time.Since(started)}
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	return answer{response.StatusCode, string(data), response.Header, err, time.Since(started)}
+}
+
+// job returns the body of a job of n items.
+func job(id string, n int, minVersion int64, change func(i int, item map[string]any)) []byte {
+	items := []map[string]any{}
+	for i := range n {
+		item := map[string]any{
+			"Id": itemID(id, i), "Path": fmt.Sprintf("/jobs/%s/%d", id, i),
+			"Headers": map[string]string{"X-Model": model, "X-Token-Counts": "10,100", platform.Headers().LengthHint: strconv.Itoa(100 + i)},
+			"Body":    base64.StdEncoding.EncodeToString([]byte(fmt.Sprintf("body %d", i))), "TokenCount": 110, "GroupId": fmt.Sprintf("g%d", i/2),
+			"Scorer": map[string]any{"Id": "s-" + itemID(id, i), "Host": host, "Path": "/score/x", "Body": base64.StdEncoding.EncodeToString([]byte("score"))},
+		}
+		if change != nil {
+			change(i, item)
+		}
+		items = append(items, item)
+	}
+	data, err := json.Marshal(map[string]any{"TrainStep": 1, "Model": model, "MinVersion": minVersion, "Desired": 1, "Items": items})
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+func itemID(job string, i int) string { return fmt.Sprintf("%s-i%d", job, i) }
+
+type result struct {
+	ID       string  `json:"Id"`
+	State    string  `json:"State"`
+	Output   string  `json:"Output"`
+	Versions []int64 `json:"Versions"`
+	Score    string  `json:"Score"`
+}
+
+type results struct {
+	Total   int      `json:"Total"`
+	Next    int      `json:"Next"`
+	Results []result `json:"Results"`
+}
+
+// read returns the results of a job from a position on.
+func (c *cluster) read(p *process, id string, after int) (results, int) {
+	a := c.call(p, http.MethodGet, platform.Paths().JobResults+url.PathEscape(id)+"?After="+strconv.Itoa(after), id, key, nil,
+		map[string]string{platform.Headers().WaitMS: "200"})
+	var r results
+	if a.status == http.StatusOK {
+		require.NoError(c.t, json.Unmarshal([]byte(a.body), &r))
+		require.Equal(c.t, after+len(r.Results), r.Next)
+	}
+	return r, a.status
+}
+
+// finish reads a job until all its results are there.
+func (c *cluster) finish(p *process, id string) []result {
+	c.t.Helper()
+	var all []result
+	c.eventually(func() bool {
+		r, status := c.read(p, id, len(all))
+		all = append(all, r.Results...)
+		return status == http.StatusOK && len(all) == r.Total
+	})
+	return all
+}
--- a/internal/node/scheduler.go
+++ b/internal/node/scheduler.go
@@ -100,7 +100,7 @@
 		Ledger: batch.NewLedger(store), Store: store, Fence: func() kv.Condition { return fence }, Valid: held.Valid,
 		Log: n.log, FailureDomain: s.FailureDomain, JobStatus: s.JobStatus,
 	}
-	work := scheduler.New(parts)
+	work := scheduler.New(ctx, parts)
 	orders := n.adapter.Orders(http1.NewClient(), s.Name, s.Cloud)
 	token := int64(fence.Revision)
 	group := newGroup(ctx, n.log)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -155,10 +155,10 @@
 	savedAt time.Time
 }
 
-// New returns the scheduler of a term.
-func New(parts Parts) *Scheduler {
+// New returns the scheduler of a term, which ends with the context.
+func New(ctx context.Context, parts Parts) *Scheduler {
 	return &Scheduler{
-		Parts: parts, mailbox: make(chan func(), mailboxSize), jobs: map[string]*job{}, loading: map[string]bool{},
+		Parts: parts, ctx: ctx, mailbox: make(chan func(), mailboxSize), jobs: map[string]*job{}, loading: map[string]bool{},
 		ended: map[string]bool{}, records: map[string]batch.Record{}, engines: map[string]*engine{}, stash: map[string]stashed{},
 	}
 }
@@ -173,7 +173,6 @@
 
 // Run works until the context ends.
 func (s *Scheduler) Run(ctx context.Context) error {
-	s.ctx = ctx
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
 	for {
