Engines are ordered for the highest number of texts of late

Cause: a step's texts are more than the slots of the engines, so some wait a second at its start; lost engines were not replaced. Ruled out: spot capacity for now, it vanishes a domain at a time. Change: the holder orders engines for the highest number of texts of the last 20 s, spread over failure domains, the cheapest first.

--- a/internal/node/scheduler.go
+++ b/internal/node/scheduler.go
@@ -26,10 +26,9 @@
 // Orders sends the calls of the holder of the duty.
 type Orders interface {
 	scheduler.Orders
+	scheduler.Scaling
 	// Usage reports a window.
 	Usage(ctx context.Context, window int64, counts map[string]int64, fence int64) (int, error)
-	// Scale orders backend servers.
-	Scale(ctx context.Context, service, domain string, wanted int, spot bool, fence int64) (int, error)
 }
 
 // Scheduler is a node that may hold the duty.
@@ -110,6 +109,7 @@
 	ran := group.startIn(ctx, "items", work.Run)
 	group.start("jobs", kv.NewFollower(store, batch.JobPrefix, 0, work.JobView(), n.log).Run)
 	group.start("weights", scheduler.NewMover(parts, orders, token, work.Avoid).Run)
+	group.start("scale", scheduler.NewScaler(work, orders, token, s.Domains).Run)
 	group.start("usage", meter.NewReporter(store, s.UsageWindow, s.UsageDue, orders.Usage, held.Valid, fence, n.log).Run)
 	<-ctx.Done()
 	<-ran
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -153,6 +153,7 @@
 	stash   map[string]stashed
 	saving  bool
 	savedAt time.Time
+	demand  *demand
 }
 
 // New returns the scheduler of a term, which ends with the context.
@@ -160,6 +161,7 @@
 	return &Scheduler{
 		Parts: parts, ctx: ctx, mailbox: make(chan func(), mailboxSize), jobs: map[string]*job{}, loading: map[string]bool{},
 		ended: map[string]bool{}, records: map[string]batch.Record{}, engines: map[string]*engine{}, stash: map[string]stashed{},
+		demand: &demand{peaks: map[string]peak{}},
 	}
 }
 
@@ -421,7 +423,13 @@
 			tasks = append(tasks, t)
 		}
 	}
+	for service, list := range running {
+		s.demand.note(service, len(list)+len(byService[service]), now)
+	}
 	for service, texts := range byService {
+		if len(running[service]) == 0 {
+			s.demand.note(service, len(texts), now)
+		}
 		rank(texts)
 		s.startAll(tasks, texts, service, now)
 	}
