A stored answer is found before its holder has named itself; steps of a higher priority first

Ruled out: the claim, which is found. Change: members that have said nothing yet are asked too (TestMayBe fails without it). Batch items: texts of routes and customers of a higher priority go first, at the scheduler and the engines.

--- a/internal/caller/completion.go
+++ b/internal/caller/completion.go
@@ -162,9 +162,9 @@
 }
 
 func (s *Server) storedElsewhere(ctx context.Context, ran *forward.AlreadyRunError) (int, string, []byte, bool) {
-	for _, m := range s.members.Others(time.Now()) {
-		if m.Incarnation() == ran.Instance() {
-			return s.clients.StoredAnswer(ctx, m.PeersAddress(), ran.ID())
+	for _, m := range s.members.MayBe(time.Now(), ran.Instance()) {
+		if status, kind, data, found := s.clients.StoredAnswer(ctx, m.PeersAddress(), ran.ID()); found {
+			return status, kind, data, true
 		}
 	}
 	return 0, "", nil, false
--- a/internal/peer/member.go
+++ b/internal/peer/member.go
@@ -187,6 +187,22 @@
 	return out
 }
 
+// MayBe returns the other members that may be an incarnation: the one that
+// said so of itself, or else those that are listed but have said nothing yet,
+// as all have right after the start of this instance.
+func (m *Members) MayBe(now time.Time, incarnation string) []Member {
+	var silent []Member
+	for _, member := range m.Others(now) {
+		switch member.incarnation {
+		case incarnation:
+			return []Member{member}
+		case "":
+			silent = append(silent, member)
+		}
+	}
+	return silent
+}
+
 // Alive returns the members heard lately, this one included.
 func (m *Members) Alive(now time.Time) []Member {
 	m.mu.Lock()
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -195,3 +195,24 @@
 		}
 	}
 }
+
+// TestMayBe asserts that the holder of a stored answer is found right after
+// the start, before it has said which incarnation it is.
+func TestMayBe(t *testing.T) {
+	now := time.Unix(100, 0)
+	names := func(members []Member) (out []string) {
+		for _, m := range members {
+			out = append(out, m.name)
+		}
+		return out
+	}
+	members := NewMembers(NewMember("a", "a-1", "one", "127.0.0.1:1", "127.0.0.1:2", false))
+	members.table["b"] = &Member{name: "b", peersAddress: "127.0.0.1:3", listed: true}
+	members.table["c"] = &Member{name: "c", peersAddress: "127.0.0.1:4", listed: true}
+	require.Equal(t, []string{"b", "c"}, names(members.MayBe(now, "b-1")))
+	members.Hear(now, NewMember("c", "c-1", "one", "127.0.0.1:4", "127.0.0.1:5", false))
+	require.Equal(t, []string{"b"}, names(members.MayBe(now, "b-1")))
+	members.Hear(now, NewMember("b", "b-1", "one", "127.0.0.1:3", "127.0.0.1:6", false))
+	require.Equal(t, []string{"b"}, names(members.MayBe(now, "b-1")))
+	require.Empty(t, members.MayBe(now, "b-0"))
+}
--- a/internal/routetable/routetable.go
+++ b/internal/routetable/routetable.go
@@ -95,6 +95,7 @@
 	routes    map[string][]*Route
 	services  map[string]*Service
 	customers map[string]*Customer
+	byName    map[string]*Customer
 	keyed     bool
 	limits    Limits
 }
@@ -103,7 +104,7 @@
 func New(version int64, routes []*Route, services []*Service, customers []*Customer, limits Limits) *Table {
 	t := &Table{
 		version: version, routes: map[string][]*Route{}, services: map[string]*Service{},
-		customers: map[string]*Customer{}, keyed: len(customers) > 0, limits: limits,
+		customers: map[string]*Customer{}, byName: map[string]*Customer{}, keyed: len(customers) > 0, limits: limits,
 	}
 	for _, r := range routes {
 		host := strings.ToLower(r.Host)
@@ -116,6 +117,7 @@
 		t.services[s.Name] = s
 	}
 	for _, c := range customers {
+		t.byName[c.Name] = c
 		for _, key := range c.Keys {
 			t.customers[key] = c
 		}
@@ -145,6 +147,14 @@
 	return c, ok
 }
 
+// Priority returns the rank of a customer's requests on a route.
+func (t *Table) Priority(r *Route, customer string) int {
+	if c, ok := t.byName[customer]; ok && c.Priority != nil {
+		return *c.Priority
+	}
+	return r.Priority
+}
+
 // Keyed tells whether requests need keys at all.
 func (t *Table) Keyed() bool { return t.keyed }
 
--- a/internal/scheduler/policy.go
+++ b/internal/scheduler/policy.go
@@ -37,7 +37,9 @@
 // waiting is a text that waits for a place, as the policy sees it.
 type waiting struct {
 	index int
-	due   time.Time
+	// priority is the rank of the job's route or customer; 0 is the highest.
+	priority int
+	due      time.Time
 	// carried texts belong to groups that the trainer waits for in any case.
 	carried bool
 	// left is the expected number of tokens that are still to be made.
@@ -62,11 +64,14 @@
 	server string
 }
 
-// rank orders waiting texts: steps that are due first, then groups carried
-// over from an earlier step, then the longest texts, since a step is as late
-// as its last long text.
+// rank orders waiting texts: by priority, then steps that are due first, then
+// groups carried over from an earlier step, then the longest texts, since a
+// step is as late as its last long text.
 func rank(texts []waiting) {
 	slices.SortStableFunc(texts, func(a, b waiting) int {
+		if d := cmp.Compare(a.priority, b.priority); d != 0 {
+			return d
+		}
 		if d := a.due.Compare(b.due); d != 0 {
 			return d
 		}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -4,10 +4,12 @@
 package scheduler
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -46,9 +48,11 @@
 	stashFor = 20 * time.Second
 	// defaultDue orders jobs of routes that name no due time.
 	defaultDue = 10 * time.Second
-	// urgent and normal are priorities at the engines; 0 is the highest.
-	urgent = 3
-	normal = 5
+	// enginePriority is the priority at the engines of a job with priority 0;
+	// 5 is what a request without one has. Carried-over groups get one better.
+	enginePriority = 4
+	// engineLowest is the lowest priority at the engines.
+	engineLowest = 9
 )
 
 // Parts is what a scheduler works with.
@@ -103,6 +107,8 @@
 	left   int
 	single bool
 	tries  int
+	// priority is the route's or the customer's; 0 is the highest.
+	priority int
 
 	// committed is the position of the next result.
 	committed  int
@@ -296,6 +302,7 @@
 		}
 		j.single = route.SingleVersion
 		j.tries = route.MaxAttempts
+		j.priority = s.View.Table().Priority(route, spec.Customer)
 	}
 	done := map[string]bool{}
 	for _, r := range results {
@@ -418,7 +425,7 @@
 				continue
 			}
 			byService[service] = append(byService[service], waiting{
-				index: len(tasks), due: j.due, carried: t.carried, left: t.hint, min: j.spec.MinVersion,
+				index: len(tasks), priority: j.priority, due: j.due, carried: t.carried, left: t.hint, min: j.spec.MinVersion,
 			})
 			tasks = append(tasks, t)
 		}
@@ -456,6 +463,7 @@
 func (s *Scheduler) move(running []*task, service string, now time.Time) {
 	servers := s.Pool.Servers(service)
 	byModel := map[string][]place{}
+	slices.SortStableFunc(running, func(a, b *task) int { return cmp.Compare(a.job.priority, b.job.priority) })
 	for _, t := range running {
 		speed := t.run.speed(now)
 		if speed == 0 || t.moving {
@@ -544,10 +552,10 @@
 	t.cancel = cancel
 	t.run = &run{
 		headers: s.Headers, client: s.Backends, job: t.job.spec, item: t.item, server: handle.Server(),
-		until: t.job.until, priority: normal, single: t.job.single, text: t.text, before: t.text.events,
+		until: t.job.until, priority: min(engineLowest, enginePriority+t.job.priority), single: t.job.single, text: t.text, before: t.text.events,
 	}
 	if t.carried {
-		t.run.priority = urgent
+		t.run.priority--
 	}
 	r := t.run
 	go func() {
