--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -14,7 +14,7 @@
 
 const (
 	// gcPercent trades processor time for memory, which is paid for.
-	gcPercent = 60
+	gcPercent = 30
 	// memoryShare is the share of the machine's memory that the collector aims
 	// to stay under.
 	memoryShare = 0.7
