The holder of the duty publishes the list of servers

Ruled out: stale reads, which may be seconds old. Change: the holder writes the list under its lease when a server joins, leaves or begins to drain; instances follow the servers themselves only while there is no such list; watches are as narrow as what each role needs.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -22,8 +22,8 @@
 	// registrationTTL is the lease of a registration: how long a dead instance
 	// is still named to callers.
 	registrationTTL = 2500 * time.Millisecond
-	// renewEvery leaves two tries before a registration lapses.
-	renewEvery = 900 * time.Millisecond
+	// renewEvery leaves a second try before a registration lapses.
+	renewEvery = 1100 * time.Millisecond
 	// lapseGrace is how long a registration that vanished around an outage of
 	// the store is still named.
 	lapseGrace = 3 * time.Second
--- a/internal/kv/mux.go
+++ b/internal/kv/mux.go
@@ -53,3 +53,12 @@
 	}
 	return out
 }
+
+// Tee returns a view that passes everything on to several views.
+func Tee(views ...View) View {
+	m := NewMux()
+	for _, v := range views {
+		m.Add("", v)
+	}
+	return m
+}
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -19,7 +19,7 @@
 
 // flushEvery is how often an instance writes counts that changed; a killed
 // instance loses at most the counts of that time.
-const flushEvery = time.Second
+const flushEvery = 2 * time.Second
 
 // Meter counts the requests of one instance.
 type Meter struct {
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -258,3 +259,20 @@
 	})
 	return all
 }
+
+// listed returns the addresses that an instance names to callers.
+func (c *cluster) listed(p *process) string {
+	response, err := http.Get("http://" + p.settings.Directory + platform.Paths().Lookup + "?Name=" + host + "&Zone=" + zone)
+	if err != nil {
+		return ""
+	}
+	defer response.Body.Close()
+	var body struct {
+		Addresses []string `json:"Addresses"`
+		TTLS      float64  `json:"TtlS"`
+	}
+	if json.NewDecoder(response.Body).Decode(&body) != nil || body.TTLS <= 0 {
+		return ""
+	}
+	return strings.Join(body.Addresses, " ")
+}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -20,8 +20,11 @@
 )
 
 const (
-	// clusterPrefix is the part of the store that all nodes watch.
-	clusterPrefix = "cluster/"
+	// entriesPrefix is the part of the store that all entry instances watch.
+	entriesPrefix = "cluster/entry"
+	// entriesPace is the least time between two looks at it: many instances
+	// register at once when a deployment starts.
+	entriesPace = 250 * time.Millisecond
 	// serversPace is the least time between two looks of an entry instance at
 	// the list of servers, each of which is paid for.
 	serversPace = time.Second
@@ -46,7 +49,6 @@
 	Decoder       routetable.Decoder
 	DecodeServer  pool.Decode
 	ServersPrefix string
-	ConfigPrefix  string
 	Store         func(*http1.Client, string) kv.Store
 	Orders        func(client *http1.Client, holder, cloud string) Orders
 	// RetireKey and RetireStatus answer a request to empty a machine.
@@ -85,11 +87,14 @@
 		Directory: entries, Meter: count, Poison: list, Log: e.log,
 		Address: s.Front, FailureDomain: s.FailureDomain, KeepMax: s.KeepMax,
 	})
-	cluster := kv.NewMux().Add(directory.Prefix, entries).Add(poison.Prefix, list)
+	source := pool.NewSource(servers, func(ctx context.Context, view kv.View) error {
+		return kv.NewFollower(store, e.adapter.ServersPrefix, serversPace, view, e.log).Run(ctx)
+	}, e.log)
+	shared := kv.NewMux().Add(directory.Prefix, entries).Add(poison.Prefix, list).Add(pool.DigestKey, source)
 	parts := newGroup(work, e.log)
-	parts.start("operator", kv.NewFollower(store, e.adapter.ConfigPrefix, 0, view, e.log).Run)
-	parts.start("servers", kv.NewFollower(store, e.adapter.ServersPrefix, serversPace, servers, e.log).Run)
-	parts.start("cluster", kv.NewFollower(store, clusterPrefix, 0, cluster, e.log).Run)
+	parts.start("configuration", kv.NewFollower(store, e.adapter.Decoder.ConfigKey, 0, view, e.log).Run)
+	parts.start("servers", source.Run)
+	parts.start("shared", kv.NewFollower(store, entriesPrefix, entriesPace, shared, e.log).Run)
 	parts.start("poison", list.Run)
 	parts.start("ready", e.listen(s.Ready, server.ServeReady))
 	parts.start("directory", e.listen(s.Directory, server.ServeLookup))
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"strings"
 	"testing"
@@ -27,21 +26,7 @@
 	require.NotEmpty(t, before.header.Get("Retry-After"))
 	c.configure(3, nil)
 	c.ready()
-	listed := func() string {
-		response, err := http.Get("http://" + first.Directory + platform.Paths().Lookup + "?Name=" + host + "&Zone=" + zone)
-		if err != nil {
-			return ""
-		}
-		defer response.Body.Close()
-		var body struct {
-			Addresses []string `json:"Addresses"`
-			TTLS      float64  `json:"TtlS"`
-		}
-		if json.NewDecoder(response.Body).Decode(&body) != nil || body.TTLS <= 0 {
-			return ""
-		}
-		return strings.Join(body.Addresses, " ")
-	}
+	listed := func() string { return c.listed(c.entries[0]) }
 	other := c.entries[1].settings
 	c.eventually(func() bool { return strings.Contains(listed(), first.Front) && strings.Contains(listed(), other.Front) })
 	c.entries[1].stop()
--- a/internal/node/scheduler.go
+++ b/internal/node/scheduler.go
@@ -58,8 +58,9 @@
 	view := routetable.NewView(n.adapter.Decoder, n.log, n.kick)
 	held := tenure.New(store, duty, s.Name, s.HolderGap, n.log)
 	parts := newGroup(ctx, n.log)
-	parts.start("operator", kv.NewFollower(store, n.adapter.ConfigPrefix, 0, view, n.log).Run)
-	parts.start("cluster", kv.NewFollower(store, clusterPrefix, 0, kv.NewMux().Add(tenure.Prefix, held), n.log).Run)
+	parts.start("configuration", kv.NewFollower(store, n.adapter.Decoder.ConfigKey, 0, view, n.log).Run)
+	parts.start("retiring", kv.NewFollower(store, n.adapter.Decoder.RetirePrefix, 0, view, n.log).Run)
+	parts.start("duties", kv.NewFollower(store, tenure.Prefix, 0, held, n.log).Run)
 	n.log.Info("scheduler: started", zap.String("node", s.Name))
 	candidate, resign := context.WithCancel(ctx)
 	defer resign()
@@ -72,7 +73,7 @@
 		return n.retire(ctx, store)
 	})
 	waitFor(candidate, func() bool { return view.Table() != nil })
-	_ = held.Run(candidate, func(ctx context.Context) { n.term(ctx, store, view, held) })
+	_ = held.Run(candidate, func(ctx context.Context, lease kv.LeaseID) { n.term(ctx, store, view, held, lease) })
 	<-ctx.Done()
 	n.log.Info("scheduler: stopped")
 	return nil
@@ -90,7 +91,7 @@
 }
 
 // term works as the holder of the duty until the context ends.
-func (n *Scheduler) term(ctx context.Context, store kv.Store, view *routetable.View, held *tenure.Tenure) {
+func (n *Scheduler) term(ctx context.Context, store kv.Store, view *routetable.View, held *tenure.Tenure, lease kv.LeaseID) {
 	s := n.settings
 	fence := held.Fence()
 	servers := pool.New(n.adapter.DecodeServer, n.log, n.kick)
@@ -105,7 +106,10 @@
 	group := newGroup(ctx, n.log)
 	n.current.Store(work)
 	defer n.current.Store(nil)
-	group.start("servers", kv.NewFollower(store, n.adapter.ServersPrefix, schedulerPace, servers, n.log).Run)
+	publisher := pool.NewPublisher(store, fence, lease, n.adapter.DecodeServer, n.log)
+	group.start("servers", kv.NewFollower(store, n.adapter.ServersPrefix, schedulerPace, kv.Tee(servers, publisher), n.log).Run)
+	group.start("publisher", publisher.Run)
+	group.start("versions", kv.NewFollower(store, n.adapter.Decoder.VersionPrefix, 0, view, n.log).Run)
 	ran := group.startIn(ctx, "items", work.Run)
 	group.start("jobs", kv.NewFollower(store, batch.JobPrefix, 0, work.JobView(), n.log).Run)
 	group.start("weights", scheduler.NewMover(parts, orders, token, work.Avoid).Run)
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -19,7 +19,7 @@
 
 const (
 	// Prefix is where instances note broken requests, below the watched prefix.
-	Prefix = "cluster/poison/"
+	Prefix = "cluster/entry-poison/"
 	// crashesToBlock is how many broken tries keep a request out.
 	crashesToBlock = 3
 	// lifetime is how long a broken try counts.
--- a/internal/routetable/view.go
+++ b/internal/routetable/view.go
@@ -58,13 +58,9 @@
 	return v.retiring[node]
 }
 
-// Reset takes in everything below the operator's prefix.
-func (v *View) Reset(items []kv.Item) {
-	v.mu.Lock()
-	clear(v.retiring)
-	v.mu.Unlock()
-	v.Apply(items)
-}
+// Reset takes in everything below a prefix. What is missing stays as it was:
+// versions only go up, and a machine that is to be emptied is emptied once.
+func (v *View) Reset(items []kv.Item) { v.Apply(items) }
 
 // Apply takes in changes.
 func (v *View) Apply(items []kv.Item) {
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -119,7 +119,7 @@
 
 // Run is a candidate until the context ends, and runs reign each time it holds
 // the duty. reign's context ends when the duty is lost.
-func (t *Tenure) Run(ctx context.Context, reign func(ctx context.Context)) error {
+func (t *Tenure) Run(ctx context.Context, reign func(ctx context.Context, lease kv.LeaseID)) error {
 	for ctx.Err() == nil {
 		if !t.free() {
 			kv.Sleep(ctx, lookEvery)
@@ -186,12 +186,12 @@
 
 // hold renews the lease and runs reign until the duty is lost or the context
 // ends.
-func (t *Tenure) hold(ctx context.Context, lease kv.LeaseID, reign func(ctx context.Context)) {
+func (t *Tenure) hold(ctx context.Context, lease kv.LeaseID, reign func(ctx context.Context, lease kv.LeaseID)) {
 	inner, cancel := context.WithCancel(ctx)
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		reign(inner)
+		reign(inner, lease)
 	}()
 	reason := "stopped"
 	for ctx.Err() == nil {
