Fewer calls: chunks name their job, counts once a window, notes only of requests that nobody served

Ruled out: renewals, a tenth of the price. Change: a chunk of results names customer and size; an instance among many writes its counts once a window; a broken try is noted only where no other server served the request; instances wait 0.7 s for a missing list of servers.

--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -132,6 +132,11 @@
 	SubmittedAt int64
 }
 
+// Record returns the job's record.
+func (j *Job) Record() Record {
+	return Record{ID: j.ID, Customer: j.Customer, Total: len(j.Items), SubmittedAt: j.SubmittedAt}
+}
+
 type wireRecord struct {
 	Customer    string `json:"customer"`
 	Total       int    `json:"total"`
@@ -275,24 +280,32 @@
 	Score     string  `json:"score,omitempty"`
 }
 
-func encodeResults(results []Result) []byte {
-	w := make([]wireResult, 0, len(results))
-	for _, r := range results {
-		w = append(w, wireResult(r))
+// wireChunk is a chunk of results. It names the job's customer and size, so
+// that a reader needs no other key.
+type wireChunk struct {
+	Customer string       `json:"customer"`
+	Total    int          `json:"total"`
+	Results  []wireResult `json:"results"`
+}
+
+func encodeChunk(r Record, results []Result) []byte {
+	w := wireChunk{Customer: r.Customer, Total: r.Total}
+	for _, result := range results {
+		w.Results = append(w.Results, wireResult(result))
 	}
 	return mustJSON(w)
 }
 
-func decodeResults(data []byte) ([]Result, error) {
-	var w []wireResult
+func decodeChunk(id string, data []byte) (Record, []Result, error) {
+	var w wireChunk
 	if err := json.Unmarshal(data, &w); err != nil {
-		return nil, Class.Wrap(err)
+		return Record{}, nil, Class.Wrap(err)
 	}
-	out := make([]Result, 0, len(w))
-	for _, r := range w {
+	out := make([]Result, 0, len(w.Results))
+	for _, r := range w.Results {
 		out = append(out, Result(r))
 	}
-	return out, nil
+	return Record{ID: id, Customer: w.Customer, Total: w.Total}, out, nil
 }
 
 // chunkPosition returns the position of a chunk's first result.
--- a/internal/batch/ledger.go
+++ b/internal/batch/ledger.go
@@ -247,36 +247,61 @@
 	l.jobs = append(l.jobs, j)
 }
 
-// Results returns the results of a job from a position on. It waits up to
-// wait for the first of them.
-func (l *Ledger) Results(ctx context.Context, id string, after int, wait time.Duration) ([]Result, error) {
+// Page is what a read of a job's results gives.
+type Page struct {
+	Total   int
+	Results []Result
+}
+
+// Read returns the results of a customer's job from a position on. It waits
+// up to wait for the first of them.
+func (l *Ledger) Read(ctx context.Context, id, customer string, after int, wait time.Duration) (Page, error) {
 	from := ""
 	if after > 0 {
 		from = chunkKey(id, after-1)
 	}
 	page, err := l.store.Range(ctx, resultsOf(id), from)
 	if err != nil {
-		return nil, err
+		return Page{}, err
 	}
 	items := page.Items
+	if len(items) == 0 {
+		record, err := l.Find(ctx, id, customer)
+		if err != nil || after >= record.Total {
+			return Page{Total: record.Total}, err
+		}
+	}
 	if len(items) == 0 && after > 0 || len(items) > 0 && startsAfter(items[0], after) {
 		items, page.At, err = l.from(ctx, id, page.At)
 		if err != nil {
-			return nil, err
+			return Page{}, err
 		}
 	}
-	results, err := collect(items, after)
-	if err != nil || len(results) > 0 || wait <= 0 {
-		return results, err
+	read, err := collect(id, customer, items, after)
+	if err != nil || len(read.Results) > 0 {
+		return read, err
+	}
+	record, err := l.Find(ctx, id, customer)
+	if err != nil || wait <= 0 {
+		return Page{Total: record.Total}, err
 	}
 	events, _, err := l.store.Watch(ctx, resultsOf(id), page.At, wait)
-	if errors.Is(err, kv.ErrCompacted) {
-		return nil, nil
+	if err != nil && !errors.Is(err, kv.ErrCompacted) {
+		return Page{}, err
 	}
+	read, err = collect(id, customer, events, after)
+	read.Total = record.Total
+	return read, err
+}
+
+// Committed returns all results of a job.
+func (l *Ledger) Committed(ctx context.Context, id, customer string) ([]Result, error) {
+	items, _, err := kv.All(ctx, l.store, resultsOf(id))
 	if err != nil {
 		return nil, err
 	}
-	return collect(events, after)
+	read, err := collect(id, customer, items, 0)
+	return read.Results, err
 }
 
 // from lists all chunks; it serves positions inside a chunk.
@@ -291,8 +316,8 @@
 }
 
 // collect returns the results from a position on, up to the first gap.
-func collect(items []kv.Item, after int) ([]Result, error) {
-	var out []Result
+func collect(id, customer string, items []kv.Item, after int) (Page, error) {
+	var out Page
 	next := after
 	for _, item := range items {
 		if item.Deleted {
@@ -300,19 +325,23 @@
 		}
 		position, err := chunkPosition(item.Key)
 		if err != nil {
-			return nil, err
+			return Page{}, err
 		}
 		if position > next {
 			break
 		}
-		results, err := decodeResults(item.Value)
+		record, results, err := decodeChunk(id, item.Value)
 		if err != nil {
-			return nil, err
+			return Page{}, err
+		}
+		if record.Customer != customer {
+			return Page{}, ErrForeign
 		}
+		out.Total = record.Total
 		if position+len(results) <= next {
 			continue
 		}
-		out = append(out, results[next-position:]...)
+		out.Results = append(out.Results, results[next-position:]...)
 		next = position + len(results)
 	}
 	return out, nil
@@ -323,9 +352,9 @@
 
 // Append adds results at a position. The write is the same each time it is
 // tried, so an unanswered one is resolved by trying again.
-func (l *Ledger) Append(ctx context.Context, fence Fence, id string, position int, results []Result) error {
-	key := chunkKey(id, position)
-	data := encodeResults(results)
+func (l *Ledger) Append(ctx context.Context, fence Fence, job Record, position int, results []Result) error {
+	key := chunkKey(job.ID, position)
+	data := encodeChunk(job, results)
 	_, err := l.store.Commit(ctx, kv.Txn{
 		Conditions: []kv.Condition{fence, {Key: key}},
 		Puts:       []kv.Put{{Key: key, Value: data}},
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -142,6 +142,13 @@
 	return out
 }
 
+// Size returns how many entry instances are registered.
+func (d *Directory) Size() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.members)
+}
+
 // StoreReachable tells whether the last call to the store succeeded.
 func (d *Directory) StoreReachable() bool {
 	d.mu.Lock()
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -50,7 +50,9 @@
 	refused int
 	counted bool
 	// lost says that the last try ended with its connection.
-	lost   bool
+	lost bool
+	// losses counts the tries that did.
+	losses int
 	failed *wholeAnswer
 	reason string
 }
@@ -105,19 +107,23 @@
 			p.ran = true
 			p.runs++
 			if p.lost {
-				s.Poison.Suspect(fingerprint)
+				p.losses++
 			}
 			if !r.route.Idempotent() {
-				s.conclude(ctx, c, r, p)
+				s.conclude(ctx, c, r, p, fingerprint)
 				return
 			}
 		}
 	}
-	s.conclude(ctx, c, r, p)
+	s.conclude(ctx, c, r, p, fingerprint)
 }
 
 // conclude gives the final answer to a request that no server served.
-func (s *Server) conclude(ctx context.Context, c *app.RequestContext, r *call, p *progress) {
+func (s *Server) conclude(_ context.Context, c *app.RequestContext, r *call, p *progress, fingerprint poison.Fingerprint) {
+	// A request that another server served did not break the first one.
+	for range p.losses {
+		s.Poison.Suspect(fingerprint)
+	}
 	switch {
 	case p.failed != nil:
 		s.answer(c, r, p.failed)
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -115,25 +115,18 @@
 
 // jobResults answers a read of results.
 func (s *Server) jobResults(ctx context.Context, c *app.RequestContext, r *call, id string) {
-	record, err := s.Ledger.Find(ctx, id, r.customer)
-	if s.jobFailed(ctx, c, r, err) {
-		return
-	}
 	after, err := strconv.Atoi(c.Query("After"))
 	if err != nil || after < 0 {
 		after = 0
 	}
-	var results []batch.Result
-	if after < record.Total {
-		results, err = s.Ledger.Results(ctx, id, after, s.wait(c))
-		if s.jobFailed(ctx, c, r, err) {
-			return
-		}
+	page, err := s.Ledger.Read(ctx, id, r.customer, after, s.wait(c))
+	if s.jobFailed(ctx, c, r, err) {
+		return
 	}
-	results = fitting(results)
+	results := fitting(page.Results)
 	c.SetContentType("application/json")
 	c.SetStatusCode(http.StatusOK)
-	c.Response.SetBodyRaw(s.Codec.Results(record.Total, after+len(results), results))
+	c.Response.SetBodyRaw(s.Codec.Results(page.Total, after+len(results), results))
 }
 
 func (s *Server) wait(c *app.RequestContext) time.Duration {
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -17,9 +18,16 @@
 // countPrefix is where entry instances write their counts of a window.
 const countPrefix = "usage/count/"
 
-// flushEvery is how often an instance writes counts that changed; a killed
-// instance loses at most the counts of that time.
-const flushEvery = 2 * time.Second
+const (
+	// flushSpread spreads the writes of many instances after a window's end.
+	flushSpread = 800 * time.Millisecond
+	// flushTimeout bounds the last write of an instance that stops.
+	flushTimeout = time.Second
+	// few is up to how many instances the counts of one are a part of the whole
+	// that matters: then each also writes in the middle of a window, so that
+	// less is lost when it is killed.
+	few = 12
+)
 
 // Meter counts the requests of one instance.
 type Meter struct {
@@ -27,6 +35,8 @@
 	node   string
 	window time.Duration
 	log    *zap.Logger
+	// instances returns how many instances count.
+	instances func() int
 
 	mu      sync.Mutex
 	windows map[int64]*tally
@@ -38,8 +48,8 @@
 }
 
 // New returns a meter. node must differ between incarnations.
-func New(store kv.Store, node string, window time.Duration, log *zap.Logger) *Meter {
-	return &Meter{store: store, node: node, window: window, log: log, windows: map[int64]*tally{}}
+func New(store kv.Store, node string, window time.Duration, instances func() int, log *zap.Logger) *Meter {
+	return &Meter{store: store, node: node, window: window, instances: instances, log: log, windows: map[int64]*tally{}}
 }
 
 // Count notes that a request of a customer began to run.
@@ -62,15 +72,26 @@
 // Run writes counts until the context ends, and then once more.
 func (m *Meter) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		kv.Sleep(ctx, flushEvery)
+		kv.Sleep(ctx, m.untilFlush(time.Now()))
 		m.flush(ctx)
 	}
-	last, cancel := context.WithTimeout(context.Background(), flushEvery)
+	last, cancel := context.WithTimeout(context.Background(), flushTimeout)
 	defer cancel()
 	m.flush(last)
 	return ctx.Err()
 }
 
+// untilFlush returns how long to wait for the next write: until shortly after
+// the end of a window or, among few instances, its middle.
+func (m *Meter) untilFlush(now time.Time) time.Duration {
+	period := m.window
+	if m.instances() <= few {
+		period /= 2
+	}
+	into := time.Duration(now.UnixNano() % int64(period))
+	return period - into + rand.N(min(flushSpread, period/4))
+}
+
 func (m *Meter) flush(ctx context.Context) {
 	var puts []kv.Put
 	var ids []int64
--- a/internal/meter/reporter.go
+++ b/internal/meter/reporter.go
@@ -19,7 +19,7 @@
 	sealedPrefix = "usage/sealed/"
 	// settleAfter is how long after its end a window is sealed: entry instances
 	// have written their last counts by then.
-	settleAfter = 2*flushEvery + 500*time.Millisecond
+	settleAfter = flushSpread + 1500*time.Millisecond
 	// reportPause is the pause between two looks at what is due.
 	reportPause = 500 * time.Millisecond
 )
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -80,7 +80,7 @@
 	servers := pool.New(e.adapter.DecodeServer, e.log, func() {})
 	entries := directory.New()
 	list := poison.New(store, e.log)
-	count := meter.New(store, incarnation(s.Name), s.UsageWindow, e.log)
+	count := meter.New(store, incarnation(s.Name), s.UsageWindow, entries.Size, e.log)
 	server := ingress.New(ingress.Parts{
 		Headers: e.adapter.Headers, Paths: e.adapter.Paths, Codec: e.adapter.Codec,
 		View: view, Pool: servers, Backends: backends, Ledger: batch.NewLedger(store),
--- a/internal/pool/digest.go
+++ b/internal/pool/digest.go
@@ -16,6 +16,9 @@
 	// DigestKey is where the holder of the duty publishes the list of servers,
 	// so that not every instance has to follow their heartbeats.
 	DigestKey = "cluster/entry-servers"
+	// fallbackAfter is how long a missing list is waited for: the next holder
+	// of the duty publishes one within that time.
+	fallbackAfter = 700 * time.Millisecond
 	// publishEvery is how often it is looked at whether the list has changed.
 	publishEvery = 100 * time.Millisecond
 )
@@ -232,6 +235,10 @@
 
 // follow ends when a list is published.
 func (s *Source) follow(ctx context.Context) {
+	kv.Sleep(ctx, fallbackAfter)
+	if !s.missing() {
+		return
+	}
 	inner, cancel := context.WithCancel(ctx)
 	done := make(chan struct{})
 	s.log.Info("pool: no published list, following the servers' own entries")
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -267,7 +267,7 @@
 		spec, err := s.Ledger.Load(s.ctx, r.ID)
 		var results []batch.Result
 		if err == nil {
-			results, err = s.Ledger.Results(s.ctx, r.ID, 0, 0)
+			results, err = s.Ledger.Committed(s.ctx, r.ID, r.Customer)
 		}
 		var partials map[string]batch.Partial
 		if err == nil && len(results) > 0 {
@@ -672,7 +672,7 @@
 // write tries one commit until its outcome is known.
 func (s *Scheduler) write(j *job, position int, results []batch.Result) {
 	for s.ctx.Err() == nil {
-		err := s.Ledger.Append(s.ctx, s.Fence(), j.spec.ID, position, results)
+		err := s.Ledger.Append(s.ctx, s.Fence(), j.spec.Record(), position, results)
 		if err == nil {
 			s.post(func() {
 				j.committing = false
