Logs to standard output that never block, and figures at a metrics address

Cause: the users ask for logs on standard output, bounded and never blocking, and for counters and latency histograms at the metrics address. Ruled out: the earlier synchronous log.

--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"os"
 	"runtime/debug"
 
 	"cactusspoke/internal/logs"
 	"cactusspoke/internal/node"
+	"cactusspoke/internal/telemetry"
 	"cactusspoke/platform"
 
 	"github.com/urfave/cli/v3"
@@ -26,21 +28,24 @@
 }
 
 func entryCommand() *cli.Command {
-	return nodeCommand("entry", "run an entry instance beside a platform's store", func(s *node.Settings, log *zap.Logger) runner {
-		return node.NewEntry(s, platform.Adapter(), log)
+	return nodeCommand("entry", "run an entry instance beside a platform's store", func(s *node.Settings, figures *telemetry.Set, log *zap.Logger) runner {
+		return node.NewEntry(s, platform.Adapter(), figures, log)
 	})
 }
 
 func schedulerCommand() *cli.Command {
-	return nodeCommand("scheduler", "run a node that may hold the duties", func(s *node.Settings, log *zap.Logger) runner {
-		return node.NewScheduler(s, platform.Adapter(), log)
+	return nodeCommand("scheduler", "run a node that may hold the duties", func(s *node.Settings, figures *telemetry.Set, log *zap.Logger) runner {
+		return node.NewScheduler(s, platform.Adapter(), figures, log)
 	})
 }
 
-func nodeCommand(name, usage string, build func(*node.Settings, *zap.Logger) runner) *cli.Command {
+func nodeCommand(name, usage string, build func(*node.Settings, *telemetry.Set, *zap.Logger) runner) *cli.Command {
 	return &cli.Command{
 		Name: name, Usage: usage,
-		Flags: []cli.Flag{&cli.StringFlag{Name: "log-level", Value: "info", Usage: "least level of the lines in the log"}},
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "log-level", Value: "info", Usage: "least level of the lines in the log"},
+			&cli.StringFlag{Name: "metrics", Usage: "port and path of the figures, as in 9464/metrics; empty for none"},
+		},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			s, err := platform.LoadSettings(platform.SettingsPath())
 			if err != nil {
@@ -48,14 +53,20 @@
 			}
 			debug.SetGCPercent(gcPercent)
 			debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryLimit)))
-			log, err := logs.New(c.String("log-level"))
+			writer := logs.NewWriter(os.Stdout)
+			log, err := logs.NewAsync(c.String("log-level"), writer)
 			if err != nil {
 				return err
 			}
+			defer func() { _ = log.Sync() }()
+			figures := telemetry.New()
+			if err := serveFigures(ctx, s.IP, c.String("metrics"), figures, writer, log); err != nil {
+				return err
+			}
 			watchReload(ctx, platform.SettingsPath(), log, func(next *node.Settings) {
 				debug.SetMemoryLimit(int64(memoryShare * float64(next.MemoryLimit)))
 			})
-			return build(s, log).Run(ctx)
+			return build(s, figures, log).Run(ctx)
 		},
 	}
 }
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -19,6 +19,7 @@
 	"cactusspoke/internal/pool"
 	"cactusspoke/internal/protocol"
 	"cactusspoke/internal/routetable"
+	"cactusspoke/internal/telemetry"
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"go.uber.org/zap"
@@ -55,6 +56,7 @@
 	Directory *directory.Directory
 	Meter     *meter.Meter
 	Poison    *poison.List
+	Figures   *telemetry.Set
 	Log       *zap.Logger
 	// Address is where callers reach this instance.
 	Address       string
@@ -126,7 +128,12 @@
 // Serve answers a request at the address for callers.
 func (s *Server) Serve(ctx context.Context, c *app.RequestContext) {
 	s.active.Add(1)
-	defer s.active.Add(-1)
+	started := time.Now()
+	defer func() {
+		s.active.Add(-1)
+		s.Figures.Count("requests_total", "status", strconv.Itoa(c.Response.StatusCode()))
+		s.Figures.Observe("request", time.Since(started))
+	}()
 	if s.stopping.Load() {
 		c.SetConnectionClose()
 	}
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"cactusspoke/internal/node"
+	"cactusspoke/internal/telemetry"
 	"cactusspoke/platform"
 	"cactusspoke/platform/standin"
 
@@ -90,9 +91,9 @@
 	var run func(context.Context) error
 	if entry {
 		s.Front, s.Ready, s.Directory = freeAddress(c.t), freeAddress(c.t), freeAddress(c.t)
-		run = node.NewEntry(s, platform.Adapter(), zap.NewNop()).Run
+		run = node.NewEntry(s, platform.Adapter(), telemetry.New(), zap.NewNop()).Run
 	} else {
-		run = node.NewScheduler(s, platform.Adapter(), zap.NewNop()).Run
+		run = node.NewScheduler(s, platform.Adapter(), telemetry.New(), zap.NewNop()).Run
 	}
 	go func() {
 		defer close(p.done)
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -14,6 +14,7 @@
 	"cactusspoke/internal/pool"
 	"cactusspoke/internal/protocol"
 	"cactusspoke/internal/routetable"
+	"cactusspoke/internal/telemetry"
 	"cactusspoke/internal/web"
 
 	"go.uber.org/zap"
@@ -60,12 +61,13 @@
 type Entry struct {
 	settings *Settings
 	adapter  Adapter
+	figures  *telemetry.Set
 	log      *zap.Logger
 }
 
 // NewEntry returns an entry instance.
-func NewEntry(settings *Settings, adapter Adapter, log *zap.Logger) *Entry {
-	return &Entry{settings: settings, adapter: adapter, log: log}
+func NewEntry(settings *Settings, adapter Adapter, figures *telemetry.Set, log *zap.Logger) *Entry {
+	return &Entry{settings: settings, adapter: adapter, figures: figures, log: log}
 }
 
 // Run serves callers until the context ends, and then until they have had time
@@ -75,7 +77,7 @@
 	defer stop()
 	s := e.settings
 	backends := http1.NewClient()
-	store := e.adapter.Store(http1.NewClient(), s.Store)
+	store := kv.Counted(e.adapter.Store(http1.NewClient(), s.Store), e.figures)
 	view := routetable.NewView(e.adapter.Decoder, e.log, func() {})
 	servers := pool.New(e.adapter.DecodeServer, e.log, func() {})
 	entries := directory.New()
@@ -84,7 +86,7 @@
 	server := ingress.New(ingress.Parts{
 		Headers: e.adapter.Headers, Paths: e.adapter.Paths, Codec: e.adapter.Codec,
 		View: view, Pool: servers, Backends: backends, Ledger: batch.NewLedger(store),
-		Directory: entries, Meter: count, Poison: list, Log: e.log,
+		Directory: entries, Meter: count, Poison: list, Figures: e.figures, Log: e.log,
 		Address: s.Front, FailureDomain: s.FailureDomain, KeepMax: s.KeepMax,
 	})
 	source := pool.NewSource(servers, func(ctx context.Context, view kv.View) error {
--- a/internal/node/scheduler.go
+++ b/internal/node/scheduler.go
@@ -12,6 +12,7 @@
 	"cactusspoke/internal/pool"
 	"cactusspoke/internal/routetable"
 	"cactusspoke/internal/scheduler"
+	"cactusspoke/internal/telemetry"
 	"cactusspoke/internal/tenure"
 
 	"go.uber.org/zap"
@@ -35,13 +36,14 @@
 type Scheduler struct {
 	settings *Settings
 	adapter  Adapter
+	figures  *telemetry.Set
 	log      *zap.Logger
 	current  atomic.Pointer[scheduler.Scheduler]
 }
 
 // NewScheduler returns a node that may hold the duty.
-func NewScheduler(settings *Settings, adapter Adapter, log *zap.Logger) *Scheduler {
-	return &Scheduler{settings: settings, adapter: adapter, log: log}
+func NewScheduler(settings *Settings, adapter Adapter, figures *telemetry.Set, log *zap.Logger) *Scheduler {
+	return &Scheduler{settings: settings, adapter: adapter, figures: figures, log: log}
 }
 
 // kick tells the term in progress that something changed.
@@ -54,7 +56,7 @@
 // Run is a candidate for the duty until the context ends.
 func (n *Scheduler) Run(ctx context.Context) error {
 	s := n.settings
-	store := n.adapter.Store(http1.NewClient(), s.Store)
+	store := kv.Counted(n.adapter.Store(http1.NewClient(), s.Store), n.figures)
 	view := routetable.NewView(n.adapter.Decoder, n.log, n.kick)
 	held := tenure.New(store, duty, s.Name, s.HolderGap, n.log)
 	parts := newGroup(ctx, n.log)
@@ -98,7 +100,7 @@
 	parts := scheduler.Parts{
 		Headers: n.adapter.Headers, View: view, Pool: servers, Backends: http1.NewClient(),
 		Ledger: batch.NewLedger(store), Store: store, Fence: func() kv.Condition { return fence }, Valid: held.Valid,
-		Log: n.log, FailureDomain: s.FailureDomain, JobStatus: s.JobStatus,
+		Figures: n.figures, Log: n.log, FailureDomain: s.FailureDomain, JobStatus: s.JobStatus,
 	}
 	work := scheduler.New(ctx, parts)
 	orders := n.adapter.Orders(http1.NewClient(), s.Name, s.Cloud)
@@ -106,6 +108,8 @@
 	group := newGroup(ctx, n.log)
 	n.current.Store(work)
 	defer n.current.Store(nil)
+	n.figures.Gauge("duty_held", 1)
+	defer n.figures.Gauge("duty_held", 0)
 	publisher := pool.NewPublisher(store, fence, lease, n.adapter.DecodeServer, n.log)
 	group.start("servers", kv.NewFollower(store, n.adapter.ServersPrefix, schedulerPace, kv.Tee(servers, publisher), n.log).Run)
 	group.start("publisher", publisher.Run)
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -88,6 +88,11 @@
 	outcomeStopped
 )
 
+var outcomeNames = []string{"whole", "broken", "not-run", "failed", "invalid", "stale", "moved", "stopped"}
+
+// String returns the outcome's name in logs and figures.
+func (o outcome) String() string { return outcomeNames[o] }
+
 // run is one run of an item at a server. Its text is the runner's until it
 // has ended.
 type run struct {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -19,6 +19,7 @@
 	"cactusspoke/internal/pool"
 	"cactusspoke/internal/protocol"
 	"cactusspoke/internal/routetable"
+	"cactusspoke/internal/telemetry"
 
 	"go.uber.org/zap"
 )
@@ -65,6 +66,7 @@
 	Store         kv.Store
 	Fence         func() kv.Condition
 	Valid         func() bool
+	Figures       *telemetry.Set
 	Log           *zap.Logger
 	FailureDomain string
 	JobStatus     time.Duration
@@ -569,12 +571,13 @@
 func (s *Scheduler) ran(t *task, r *run, handle *pool.Handle, o outcome) {
 	e := s.engine(handle.Server().ID)
 	now := time.Now()
+	s.Figures.Count("runs_total", "outcome", o.String())
 	t.state = taskWaiting
 	t.run = nil
 	t.moving = false
 	if o != outcomeWhole && o != outcomeStopped {
 		s.Log.Info("item: run ended", zap.String("id", t.item.ID), zap.String("server", handle.Server().ID),
-			zap.Int("outcome", int(o)), zap.String("reason", r.reason), zap.Int("events", t.text.events))
+			zap.Stringer("outcome", o), zap.String("reason", r.reason), zap.Int("events", t.text.events))
 	}
 	switch o {
 	case outcomeWhole:
--- /dev/null
+++ b/internal/telemetry/telemetry_test.go
@@ -0,0 +1,30 @@
+package telemetry_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"cactusspoke/internal/telemetry"
+
+	"github.com/stretchr/testify/require"
+)
+
+func ExampleSet_Text() {
+	set := telemetry.New()
+	set.Count("requests_total", "status", "200")
+	set.Count("requests_total", "status", "200")
+	set.Gauge("duty_held", 1)
+	fmt.Print(set.Text())
+	// Output:
+	// cactusspoke_duty_held 1
+	// cactusspoke_requests_total{status="200"} 2
+}
+
+// TestHistogram asserts that labels and quantiles share one pair of braces.
+func TestHistogram(t *testing.T) {
+	set := telemetry.New()
+	set.Observe("store_call", 2*time.Millisecond, "call", "read")
+	require.Contains(t, set.Text(), `cactusspoke_store_call_ms{call="read",quantile="0.99"} 2.000`)
+	require.Contains(t, set.Text(), `cactusspoke_store_call_ms_count{call="read"} 1`)
+}
