--- a/internal/batch/ledger.go
+++ b/internal/batch/ledger.go
@@ -97,11 +97,7 @@
 			l.remember(record, revision)
 			return nil
 		case errors.Is(err, kv.ErrConflict):
-			found, err := l.Find(ctx, j.ID, j.Customer)
-			if err == nil && found.ID == j.ID {
-				return nil
-			}
-			return errors.Join(ErrUnsure, err)
+			return l.accepted(ctx, j)
 		case errors.Is(err, kv.ErrForbidden):
 			return err
 		case errors.Is(err, kv.ErrRefused):
@@ -118,6 +114,15 @@
 	return ErrUnsure
 }
 
+// accepted tells whether the job that stands under an id is this customer's.
+// It stands there, so no error may say that it was refused.
+func (l *Ledger) accepted(ctx context.Context, j *Job) error {
+	if _, err := l.Find(ctx, j.ID, j.Customer); err != nil {
+		return Class.New("%w: job %s stands already: %v", ErrUnsure, j.ID, err)
+	}
+	return nil
+}
+
 func (l *Ledger) remember(r Record, revision kv.Revision) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -367,7 +372,7 @@
 		return nil
 	}
 	if failed != nil && !errors.Is(failed, kv.ErrNotFound) {
-		return errors.Join(ErrUnsure, failed)
+		return Class.New("%w: chunk %s: %v", ErrUnsure, key, failed)
 	}
 	return err
 }
--- /dev/null
+++ b/internal/batch/ledger_test.go
@@ -0,0 +1,150 @@
+package batch_test
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cactusspoke/internal/batch"
+	"cactusspoke/internal/kv"
+	"cactusspoke/internal/kv/kvtest"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func newJob(id string, n int) *batch.Job {
+	j := &batch.Job{ID: id, Customer: "a", Host: "h", Model: "m", MinVersion: 1, Wanted: 1}
+	for i := range n {
+		j.Items = append(j.Items, batch.Item{ID: fmt.Sprintf("%s-%d", id, i), Path: "/x", Body: []byte("body")})
+	}
+	return j
+}
+
+// holder appends results as the holder of a duty does, and knows what it has
+// written only by answers and reads.
+type holder struct {
+	ledger *batch.Ledger
+	fence  kv.Condition
+}
+
+// TestResults asserts with drawn failures that positions keep their results
+// while two holders take turns, the first with writes still on their way.
+func TestResults(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		seed := rapid.Uint64().Draw(rt, "seed")
+		turns := rapid.IntRange(1, 4).Draw(rt, "turns")
+		synctest.Test(t, func(t *testing.T) { playResults(t, seed, turns) })
+	})
+}
+
+func playResults(t *testing.T, seed uint64, turns int) {
+	ctx := t.Context()
+	random := rand.New(rand.NewPCG(seed, 2))
+	faults := kvtest.Faults{Refused: 0.1, Lost: 0.2, Late: 0.2, Slow: 50 * time.Millisecond}
+	store := kvtest.New(seed, kvtest.Faults{})
+	sure := store.Client()
+	job := newJob("j", 30)
+	require.NoError(t, batch.NewLedger(sure).Submit(ctx, job))
+	reader := batch.NewLedger(sure)
+	var seen []batch.Result
+	look := func() {
+		page, err := reader.Read(ctx, "j", "a", 0, 0)
+		require.NoError(t, err)
+		require.GreaterOrEqual(t, len(page.Results), len(seen), "results that were read are gone")
+		for position := range seen {
+			require.Equal(t, seen[position], page.Results[position], "a position holds another result")
+		}
+		seen = page.Results
+	}
+	look()
+	for turn := range turns {
+		revision, err := sure.Commit(ctx, kv.Txn{Puts: []kv.Put{{Key: "duty", Value: []byte{byte(turn)}}}})
+		require.NoError(t, err)
+		h := holder{batch.NewLedger(store.Client()), kv.Condition{Key: "duty", Revision: revision}}
+		done, err := batch.NewLedger(sure).Committed(ctx, "j", "a")
+		require.NoError(t, err)
+		store.SetFaults(faults)
+		h.work(t, random, job, done)
+		store.SetFaults(kvtest.Faults{})
+		look()
+	}
+	time.Sleep(10 * time.Second) // late writes are carried out or fail
+	look()
+	ids := map[string]bool{}
+	for _, r := range seen {
+		require.False(t, ids[r.ID], "%s stands at two positions", r.ID)
+		ids[r.ID] = true
+	}
+}
+
+// work appends results until it has tried often enough; its last write may be
+// unanswered.
+func (h holder) work(t *testing.T, random *rand.Rand, job *batch.Job, done []batch.Result) {
+	ids := map[string]bool{}
+	for _, r := range done {
+		ids[r.ID] = true
+	}
+	var left []batch.Result
+	for _, item := range job.Items {
+		if !ids[item.ID] {
+			left = append(left, batch.Result{ID: item.ID, Completed: true, Text: fmt.Sprint(random.Uint64()), Versions: []int64{1}})
+		}
+	}
+	position := len(done)
+	for range 8 {
+		if len(left) == 0 {
+			return
+		}
+		n := 1 + random.IntN(min(3, len(left)))
+		for tries := 0; ; tries++ {
+			err := h.ledger.Append(t.Context(), h.fence, job.Record(), position, left[:n])
+			if err == nil {
+				break
+			}
+			if tries == 6 || errors.Is(err, kv.ErrConflict) || random.IntN(3) == 0 {
+				return // some holders die with a write on its way
+			}
+		}
+		position += n
+		left = left[n:]
+	}
+}
+
+// TestSubmitOnce asserts that a job is accepted once, that repeats succeed,
+// and that "refused" is only said of what no write can accept any more.
+func TestSubmitOnce(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		seed := rapid.Uint64().Draw(rt, "seed")
+		synctest.Test(t, func(t *testing.T) {
+			store := kvtest.New(seed, kvtest.Faults{Refused: 0.3, Lost: 0.2, Late: 0.2, Slow: 20 * time.Millisecond})
+			err := batch.NewLedger(store.Client()).Submit(t.Context(), newJob("j", 3))
+			store.SetFaults(kvtest.Faults{})
+			time.Sleep(10 * time.Second)
+			_, found := batch.NewLedger(store.Client()).Find(t.Context(), "j", "a")
+			switch {
+			case err == nil:
+				require.NoError(t, found)
+			case errors.Is(err, kv.ErrRefused):
+				require.ErrorIs(t, found, batch.ErrUnknownJob, "said not to run, and accepted later")
+			}
+		})
+	})
+}
+
+// TestLargeJob asserts that a job over the size of one value is kept whole.
+func TestLargeJob(t *testing.T) {
+	store := kvtest.New(1, kvtest.Faults{})
+	job := newJob("j", 40)
+	for i := range job.Items {
+		job.Items[i].Body = make([]byte, 100<<10)
+		job.Items[i].Body[0] = byte(i)
+	}
+	require.NoError(t, batch.NewLedger(store.Client()).Submit(t.Context(), job))
+	loaded, err := batch.NewLedger(store.Client()).Load(t.Context(), "j")
+	require.NoError(t, err)
+	require.Equal(t, job.Items, loaded.Items)
+}
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -43,6 +43,7 @@
 	me    string
 	gap   time.Duration
 	log   *zap.Logger
+	clock func() time.Duration
 
 	mu       sync.Mutex
 	known    bool
@@ -56,7 +57,7 @@
 // New returns a tenure. gap is the least time between two holds of one node
 // with another holder between them.
 func New(store kv.Store, duty, me string, gap time.Duration, log *zap.Logger) *Tenure {
-	return &Tenure{store: store, key: Prefix + duty, me: me, gap: gap, log: log.With(zap.String("duty", duty))}
+	return &Tenure{store: store, key: Prefix + duty, me: me, gap: gap, log: log.With(zap.String("duty", duty)), clock: bootTime}
 }
 
 // bootTime is a clock that goes on while the machine is suspended.
@@ -106,7 +107,7 @@
 func (t *Tenure) Valid() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.fence != 0 && bootTime() < t.deadline
+	return t.fence != 0 && t.clock() < t.deadline
 }
 
 // Fence returns the condition that writes of the holder carry; its revision is
@@ -143,14 +144,14 @@
 		return false
 	}
 	mine := t.last.Revision != 0 && string(t.last.Value) == t.stamp()
-	return mine || t.heldTill == 0 || bootTime() > t.heldTill+t.gap+gapMargin
+	return mine || t.heldTill == 0 || t.clock() > t.heldTill+t.gap+gapMargin
 }
 
 // stamp is the value of the key that names the last holder.
 func (t *Tenure) stamp() string { return t.me }
 
 func (t *Tenure) acquire(ctx context.Context) (kv.LeaseID, bool) {
-	sentAt := bootTime()
+	sentAt := t.clock()
 	lease, err := t.store.Grant(ctx, ttl)
 	if err != nil {
 		t.log.Warn("duty: no lease", zap.String("reason", err.Error()))
@@ -196,7 +197,7 @@
 	reason := "stopped"
 	for ctx.Err() == nil {
 		kv.Sleep(ctx, renewEvery)
-		sentAt := bootTime()
+		sentAt := t.clock()
 		err := t.store.Keep(inner, lease)
 		if errors.Is(err, kv.ErrNotFound) {
 			reason = "the lease has ended"
