--- /dev/null
+++ b/internal/scheduler/policy_test.go
@@ -0,0 +1,144 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"cactusspoke/internal/routetable"
+
+	"github.com/stretchr/testify/require"
+)
+
+var start = time.Unix(1000, 0)
+
+// TestRank asserts whose text gets a place first. The load is a step that
+// begins while another is under way and there are fewer places than texts.
+func TestRank(t *testing.T) {
+	text := func(index, priority, due int, carried bool, left int) waiting {
+		return waiting{index: index, priority: priority, due: start.Add(time.Duration(due) * time.Second), carried: carried, left: left}
+	}
+	tests := []struct {
+		name  string
+		texts []waiting
+		want  []int
+	}{
+		{"the longest of a step first", []waiting{text(0, 0, 5, false, 10), text(1, 0, 5, false, 90), text(2, 0, 5, false, 40)}, []int{1, 2, 0}},
+		{"the step that is due first", []waiting{text(0, 0, 9, false, 99), text(1, 0, 5, false, 1)}, []int{1, 0}},
+		{"carried-over groups of a step first", []waiting{text(0, 0, 5, false, 99), text(1, 0, 5, true, 1)}, []int{1, 0}},
+		{"a higher priority before an earlier step", []waiting{text(0, 1, 5, true, 99), text(1, 0, 9, false, 1)}, []int{1, 0}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			rank(tt.texts)
+			var got []int
+			for _, w := range tt.texts {
+				got = append(got, w.index)
+			}
+			require.Equal(t, tt.want, got)
+		})
+	}
+}
+
+// TestAssign asserts where texts go.
+func TestAssign(t *testing.T) {
+	tests := []struct {
+		name   string
+		texts  []waiting
+		places []place
+		want   []assignment
+	}{
+		{
+			"the first text gets the fastest engine",
+			[]waiting{{index: 0}, {index: 1}},
+			[]place{{id: "slow", free: 1, speed: 50}, {id: "fast", free: 1, speed: 36}},
+			[]assignment{{0, "fast"}, {1, "slow"}},
+		},
+		{
+			"equal engines share the load",
+			[]waiting{{index: 0}, {index: 1}, {index: 2}, {index: 3}},
+			[]place{{id: "a", free: 4, speed: 36}, {id: "b", free: 4, speed: 36}},
+			[]assignment{{0, "a"}, {1, "b"}, {2, "a"}, {3, "b"}},
+		},
+		{
+			"weights that are too old get nothing",
+			[]waiting{{index: 0, min: 3}},
+			[]place{{id: "old", free: 8, speed: 36, version: 2}},
+			nil,
+		},
+		{
+			"new weights before allowed older ones of the same speed",
+			[]waiting{{index: 0, min: 2}},
+			[]place{{id: "old", free: 8, speed: 36, version: 2}, {id: "new", free: 8, speed: 36, version: 3}},
+			[]assignment{{0, "new"}},
+		},
+		{"no room, no place", []waiting{{index: 0}}, []place{{id: "a", free: 0, speed: 36}}, nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			require.Equal(t, tt.want, assign(tt.texts, tt.places))
+		})
+	}
+}
+
+// TestBetter asserts which running texts move. The load is an engine that
+// turns slow under the long texts that a step waits for.
+func TestBetter(t *testing.T) {
+	fast := place{id: "fast", free: 1, speed: 36, version: 3}
+	tests := []struct {
+		name   string
+		speed  float64
+		events int
+		at     string
+		min    int64
+		place  place
+		moves  bool
+	}{
+		{"a long text leaves a slow engine", 48, longText, "slow", 3, fast, true},
+		{"a short one stays", 48, longText - 1, "slow", 3, fast, false},
+		{"a short one leaves a very slow engine", 150, 5, "slow", 3, fast, true},
+		{"nothing moves for little", 40, 100, "slow", 3, fast, false},
+		{"nothing moves to older weights than allowed", 150, 100, "slow", 4, fast, false},
+		{"nothing moves to where it is", 150, 100, "fast", 3, fast, false},
+		{"nothing moves to a full engine", 150, 100, "slow", 3, place{id: "fast", speed: 36, version: 3}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			_, moves := better(tt.speed, tt.events, tt.at, tt.min, []place{tt.place})
+			require.Equal(t, tt.moves, moves)
+		})
+	}
+}
+
+// TestEngineMemory asserts that an engine that was slow gets work again.
+func TestEngineMemory(t *testing.T) {
+	e := &engine{speed: firstSpeed}
+	for i := range 20 {
+		e.measure(start.Add(time.Duration(i)*observeEvery), 150)
+	}
+	slow := start.Add(20 * observeEvery)
+	require.Greater(t, e.expected(slow), 100.0)
+	require.Less(t, e.expected(slow.Add(4*speedMemory)), 1.1*firstSpeed)
+}
+
+// TestSpread asserts how many engines each failure domain is to have.
+func TestSpread(t *testing.T) {
+	scaling := &routetable.Scaling{Min: 1, Max: 4, Prices: map[string]float64{"a": 1.2, "b": 0.8, "c": 1.0}}
+	domains := []string{"a", "b", "c"}
+	tests := []struct {
+		name  string
+		total int
+		have  map[string]int
+		want  map[string]int
+	}{
+		{"nothing to add", 6, map[string]int{"a": 2, "b": 2, "c": 2}, map[string]int{"a": 2, "b": 2, "c": 2}},
+		{"the cheapest first, evenly", 8, map[string]int{"a": 2, "b": 2, "c": 2}, map[string]int{"a": 2, "b": 3, "c": 3}},
+		{"a domain that lost its engines gets them back", 6, map[string]int{"a": 0, "b": 2, "c": 2}, map[string]int{"a": 2, "b": 2, "c": 2}},
+		{"never over the most", 30, map[string]int{"a": 2, "b": 2, "c": 2}, map[string]int{"a": 4, "b": 4, "c": 4}},
+		{"no domain loses engines", 1, map[string]int{"a": 3, "b": 1, "c": 1}, map[string]int{"a": 3, "b": 1, "c": 1}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			require.Equal(t, tt.want, spread(tt.total, tt.have, domains, scaling))
+		})
+	}
+}
