--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := bin
 STEPS ?= 100000
 SEED ?= 1
-UNFORMATTED = $(shell go tool gofumpt -l cmd internal pkg)
+UNFORMATTED = $(shell go tool gofumpt -l cmd internal pkg platform)
 
 .PHONY: all build test lint demo soak bench matrix generate clean
 
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -44,7 +44,7 @@
 		Commands: []*cli.Command{
 			runCommand(), settingsCommand(), profileCommand(), serviceCommand(), customerCommand(),
 			keyCommand(), statusCommand(), accountCommand(), drainCommand(),
-			entryCommand(), schedulerCommand(),
+			entryCommand(), schedulerCommand(), explainCommand(), versionCommand(),
 		},
 	}
 	strictly(root)
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -75,6 +75,9 @@
 	verdictFailed
 )
 
+// String returns the verdict's name in logs.
+func (v verdict) String() string { return [...]string{"done", "not-run", "failed"}[v] }
+
 // forward sends a request to backend servers until one answers.
 func (s *Server) forward(ctx context.Context, c *app.RequestContext, r *call) {
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
@@ -98,7 +101,13 @@
 			continue
 		}
 		p.tried[handle.Server().ID] = true
-		switch s.try(ctx, c, r, p, handle) {
+		verdict := s.try(ctx, c, r, p, handle)
+		if verdict != verdictDone {
+			s.Log.Info("request: try ended without an answer", zap.String("id", r.id), zap.String("server", handle.Server().ID),
+				zap.Stringer("verdict", verdict), zap.String("reason", p.reason), zap.Int("ran-before", p.runs),
+				zap.Int64("configuration", s.View.Table().Version()), zap.Duration("left", time.Until(r.deadline)))
+		}
+		switch verdict {
 		case verdictDone:
 			return
 		case verdictNotRun:
@@ -361,7 +370,7 @@
 		}
 		if err != nil {
 			s.lost(ctx, handle)
-			s.Log.Info("request: stream broke off", zap.String("id", r.id), zap.String("reason", err.Error()))
+			s.Log.Info("request: stream broke off", zap.String("id", r.id), zap.String("server", handle.Server().ID), zap.String("reason", err.Error()))
 			_ = c.GetConn().Close()
 			return verdictDone
 		}
--- a/internal/logs/async.go
+++ b/internal/logs/async.go
@@ -18,7 +18,7 @@
 	// sampleTick, sampleFirst and sampleEach bound how often one message is
 	// written: the first in each tick, and then one in each so many.
 	sampleTick  = time.Second
-	sampleFirst = 100
+	sampleFirst = 400
 	sampleEach  = 50
 	// flushTimeout bounds the wait for the last lines of a process.
 	flushTimeout = 300 * time.Millisecond
--- a/internal/logs/async_test.go
+++ b/internal/logs/async_test.go
@@ -61,11 +61,11 @@
 	w := logs.NewWriter(out)
 	log, err := logs.NewAsync("info", w)
 	require.NoError(t, err)
-	for range 1000 {
+	for range 4000 {
 		log.Info("request: refused", zap.String("id", "x"))
 	}
 	require.NoError(t, log.Sync())
 	_, sampled := w.Dropped()
 	require.Positive(t, sampled)
-	require.Equal(t, 1000-int(sampled), out.lines())
+	require.Equal(t, 4000-int(sampled), out.lines())
 }
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -12,16 +12,17 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
+	"cactusspoke/internal/logs"
 	"cactusspoke/internal/node"
 	"cactusspoke/internal/telemetry"
 	"cactusspoke/platform"
 	"cactusspoke/platform/standin"
 
 	"github.com/stretchr/testify/require"
-	"go.uber.org/zap"
 )
 
 const (
@@ -47,10 +48,29 @@
 type process struct {
 	settings *node.Settings
 	door     int
+	out      *output
 	stop     context.CancelFunc
 	done     chan struct{}
 }
 
+// output is what a process writes to its log.
+type output struct {
+	mu   sync.Mutex
+	data bytes.Buffer
+}
+
+func (o *output) Write(p []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.data.Write(p)
+}
+
+func (o *output) text() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.data.String()
+}
+
 func newCluster(t *testing.T, entries, schedulers int) *cluster {
 	t.Helper()
 	c := &cluster{t: t, store: standin.NewStore(), cloud: standin.NewCloud()}
@@ -87,13 +107,15 @@
 		UsageDue: 10 * time.Second, KeepMax: time.Second, JobStatus: time.Minute, MemoryLimit: 256 << 20,
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	p := &process{settings: s, door: door, stop: stop, done: make(chan struct{})}
+	p := &process{settings: s, door: door, out: &output{}, stop: stop, done: make(chan struct{})}
+	log, err := logs.NewAsync("info", logs.NewWriter(p.out))
+	require.NoError(c.t, err)
 	var run func(context.Context) error
 	if entry {
 		s.Front, s.Ready, s.Directory = freeAddress(c.t), freeAddress(c.t), freeAddress(c.t)
-		run = node.NewEntry(s, platform.Adapter(), telemetry.New(), zap.NewNop()).Run
+		run = node.NewEntry(s, platform.Adapter(), telemetry.New(), log).Run
 	} else {
-		run = node.NewScheduler(s, platform.Adapter(), telemetry.New(), zap.NewNop()).Run
+		run = node.NewScheduler(s, platform.Adapter(), telemetry.New(), log).Run
 	}
 	go func() {
 		defer close(p.done)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -480,7 +480,7 @@
 			continue
 		}
 		to := byModel[model][i]
-		s.Log.Info("item: moved to a faster engine", zap.String("id", t.item.ID), zap.String("server", t.run.server.ID),
+		s.Log.Info("item: moved to a faster engine", zap.String("id", t.item.ID), zap.String("job", t.job.spec.ID), zap.String("server", t.run.server.ID),
 			zap.Float64("speed", speed), zap.String("to", to.id), zap.Float64("expected", to.speed))
 		for _, list := range byModel {
 			occupy(list, to.id)
@@ -559,6 +559,9 @@
 	if t.carried {
 		t.run.priority--
 	}
+	s.Log.Info("item: placed", zap.String("id", t.item.ID), zap.String("job", t.job.spec.ID), zap.String("server", handle.Server().ID),
+		zap.Int64("version", handle.Server().Models[t.job.spec.Model]), zap.Int("events", t.text.events), zap.Int("hint", t.hint),
+		zap.Bool("carried", t.carried), zap.Duration("until-due", time.Until(t.job.due)))
 	r := t.run
 	go func() {
 		o := r.do(ctx)
@@ -576,7 +579,7 @@
 	t.run = nil
 	t.moving = false
 	if o != outcomeWhole && o != outcomeStopped {
-		s.Log.Info("item: run ended", zap.String("id", t.item.ID), zap.String("server", handle.Server().ID),
+		s.Log.Info("item: run ended", zap.String("id", t.item.ID), zap.String("job", t.job.spec.ID), zap.String("server", handle.Server().ID),
 			zap.Stringer("outcome", o), zap.String("reason", r.reason), zap.Int("events", t.text.events))
 	}
 	switch o {
@@ -608,6 +611,7 @@
 	case t.whole:
 		s.finishText(t)
 	case o == outcomeInvalid || t.failures >= t.job.tries:
+		s.Log.Info("item: given up", zap.String("id", t.item.ID), zap.String("job", t.job.spec.ID), zap.Stringer("outcome", o), zap.Int("failures", t.failures))
 		s.finish(t, batch.Result{ID: t.item.ID})
 	}
 }
@@ -632,7 +636,8 @@
 			}
 			result.Score = seal
 			if !ok {
-				s.Log.Info("item: given up, its reward call failed for good", zap.String("id", t.item.ID))
+				s.Log.Info("item: given up, its reward call failed for good", zap.String("id", t.item.ID),
+					zap.String("job", t.job.spec.ID), zap.String("reward", t.item.Reward.ID))
 				result = batch.Result{ID: t.item.ID}
 			}
 			s.finish(t, result)
@@ -677,6 +682,7 @@
 	for s.ctx.Err() == nil {
 		err := s.Ledger.Append(s.ctx, s.Fence(), j.spec.Record(), position, results)
 		if err == nil {
+			s.Log.Info("job: results committed", zap.String("id", j.spec.ID), zap.Int("position", position), zap.Int("results", len(results)))
 			s.post(func() {
 				j.committing = false
 				j.committed += len(results)
