A watch that broke or heard nothing is followed by a new list

Ruled out: stale reads, which are not used, and the decoding, since other nodes took the same version. Change: a view is listed anew after each failure and after each watch without events, which wait 30 s instead of 20.

--- a/internal/kv/follow.go
+++ b/internal/kv/follow.go
@@ -10,8 +10,9 @@
 )
 
 const (
-	// watchWait is how long one watch waits for events; the store allows 30 s.
-	watchWait = 20 * time.Second
+	// watchWait is how long one watch waits for events, the longest that the
+	// store allows.
+	watchWait = 30 * time.Second
 	// retryMin and retryMax bound the pause after a failed call.
 	retryMin = 50 * time.Millisecond
 	retryMax = 400 * time.Millisecond
@@ -44,55 +45,44 @@
 
 // Run follows until the context ends.
 func (f *Follower) Run(ctx context.Context) error {
-	pause := retryMin
+	failures := 0
 	for ctx.Err() == nil {
-		err := f.follow(ctx, func() { pause = retryMin })
+		heard, err := f.follow(ctx)
 		if ctx.Err() != nil {
 			break
 		}
-		if !errors.Is(err, ErrCompacted) {
-			f.view.Reachable(false)
-			f.log.Warn("store: view not up to date", zap.String("reason", err.Error()))
+		if heard {
+			failures = 0
+		}
+		if err == nil || errors.Is(err, ErrCompacted) && failures == 0 {
+			continue
 		}
+		failures++
+		f.view.Reachable(false)
+		f.log.Warn("store: view not up to date", zap.String("reason", err.Error()), zap.Int("in-a-row", failures))
+		pause := min(retryMin<<min(failures, 3), retryMax)
 		Sleep(ctx, pause/2+rand.N(pause))
-		pause = min(2*pause, retryMax)
 	}
 	return ctx.Err()
 }
 
-// follow lists the prefix and watches it until a call fails.
-func (f *Follower) follow(ctx context.Context, works func()) error {
+// follow lists the prefix and watches it until a watch fails or hears nothing.
+// Both are followed by a new list: history may have been dropped while the
+// watch was deaf, and the revision that it ends with tells nothing of that.
+func (f *Follower) follow(ctx context.Context) (heard bool, err error) {
 	items, at, err := All(ctx, f.store, f.prefix)
 	if err != nil {
-		return err
+		return false, err
 	}
 	f.view.Reachable(true)
 	f.view.Reset(items)
-	works()
-	failures := 0
 	for {
 		started := time.Now()
 		events, next, err := f.store.Watch(ctx, f.prefix, at, watchWait)
-		if errors.Is(err, ErrCompacted) || ctx.Err() != nil {
-			return err
-		}
-		if err != nil {
-			// History is kept, so the watch goes on from the same revision.
-			failures++
-			f.view.Reachable(false)
-			f.log.Warn("store: watch failed", zap.String("reason", err.Error()), zap.Int("in-a-row", failures))
-			pause := min(retryMin<<min(failures, 3), retryMax)
-			Sleep(ctx, pause/2+rand.N(pause))
-			continue
-		}
-		if failures > 0 {
-			f.log.Info("store: watch works again", zap.Int("failures", failures))
-		}
-		failures = 0
-		f.view.Reachable(true)
-		if len(events) > 0 {
-			f.view.Apply(events)
+		if err != nil || len(events) == 0 {
+			return true, err
 		}
+		f.view.Apply(events)
 		at = max(at, next)
 		if rest := f.pace - time.Since(started); rest > 0 {
 			Sleep(ctx, rest)
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -72,15 +72,19 @@
 // Reset takes in the state of all duties.
 func (t *Tenure) Reset(items []kv.Item) {
 	t.mu.Lock()
+	defer t.mu.Unlock()
 	t.holder, t.last, t.known = kv.Item{}, kv.Item{}, true
-	t.mu.Unlock()
-	t.Apply(items)
+	t.apply(items)
 }
 
 // Apply takes in changes of duties.
 func (t *Tenure) Apply(events []kv.Item) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.apply(events)
+}
+
+func (t *Tenure) apply(events []kv.Item) {
 	for _, e := range events {
 		target := &t.holder
 		switch e.Key {
