Only servers that entry instances send requests to are published

Ruled out: registrations, a few wakes at the start. Change: the list holds the servers of routes that entry instances forward, and comes every 0.3 s at most.

--- a/internal/pool/digest.go
+++ b/internal/pool/digest.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"sync"
 	"time"
 
@@ -19,8 +20,9 @@
 	// fallbackAfter is how long a missing list is waited for: the next holder
 	// of the duty publishes one within that time.
 	fallbackAfter = 700 * time.Millisecond
-	// publishEvery is how often it is looked at whether the list has changed.
-	publishEvery = 100 * time.Millisecond
+	// publishEvery is the least time between two lists: every instance reads
+	// each of them.
+	publishEvery = 300 * time.Millisecond
 )
 
 // Publisher publishes the list of servers under the lease of the holder of
@@ -30,19 +32,22 @@
 	fence  kv.Condition
 	lease  kv.LeaseID
 	decode Decode
+	wanted func(service string) bool
 	log    *zap.Logger
 
 	mu        sync.Mutex
 	items     map[string][]byte
 	servers   map[string]Server
+	services  map[string]bool
 	changed   bool
 	revision  kv.Revision
 	reachable bool
 }
 
-// NewPublisher returns the publisher of a holder.
-func NewPublisher(store kv.Store, fence kv.Condition, lease kv.LeaseID, decode Decode, log *zap.Logger) *Publisher {
-	return &Publisher{store: store, fence: fence, lease: lease, decode: decode, log: log, items: map[string][]byte{}, servers: map[string]Server{}}
+// NewPublisher returns the publisher of a holder. It lists the servers of the
+// services that are wanted: those that entry instances send requests to.
+func NewPublisher(store kv.Store, fence kv.Condition, lease kv.LeaseID, decode Decode, wanted func(service string) bool, log *zap.Logger) *Publisher {
+	return &Publisher{store: store, fence: fence, lease: lease, decode: decode, wanted: wanted, log: log, items: map[string][]byte{}, servers: map[string]Server{}}
 }
 
 // Reset takes in the whole list.
@@ -54,9 +59,7 @@
 	}
 	for key := range p.items {
 		if !listed[key] {
-			delete(p.items, key)
-			delete(p.servers, key)
-			p.changed = true
+			p.drop(key)
 		}
 	}
 	p.changed = p.changed || p.revision == 0
@@ -70,11 +73,7 @@
 	defer p.mu.Unlock()
 	for _, e := range events {
 		if e.Deleted {
-			if _, known := p.items[e.Key]; known {
-				delete(p.items, e.Key)
-				delete(p.servers, e.Key)
-				p.changed = true
-			}
+			p.drop(e.Key)
 			continue
 		}
 		server, err := p.decode(e.Key, e.Value)
@@ -83,13 +82,42 @@
 		}
 		old := p.servers[e.Key]
 		if old.Address != server.Address || old.Service != server.Service || old.Draining != server.Draining || old.Born != server.Born {
-			p.changed = true
+			p.changed = p.changed || p.wanted(server.Service)
 		}
 		p.items[e.Key] = e.Value
 		p.servers[e.Key] = server
 	}
 }
 
+// drop forgets a server.
+func (p *Publisher) drop(key string) {
+	server, known := p.servers[key]
+	if !known {
+		return
+	}
+	delete(p.items, key)
+	delete(p.servers, key)
+	p.changed = p.changed || p.wanted(server.Service)
+}
+
+// list returns the entries to publish. Another configuration may want servers
+// of other services than the last list held.
+func (p *Publisher) list() map[string][]byte {
+	out := map[string][]byte{}
+	services := map[string]bool{}
+	for key, server := range p.servers {
+		if p.wanted(server.Service) {
+			out[key] = p.items[key]
+			services[server.Service] = true
+		}
+	}
+	if !maps.Equal(services, p.services) {
+		p.changed = true
+		p.services = services
+	}
+	return out
+}
+
 // Reachable is part of kv.View.
 func (p *Publisher) Reachable(ok bool) {
 	p.mu.Lock()
@@ -102,8 +130,9 @@
 	for ctx.Err() == nil {
 		kv.Sleep(ctx, publishEvery)
 		p.mu.Lock()
+		list := p.list()
 		changed := p.changed && p.reachable
-		data, err := json.Marshal(p.items)
+		data, err := json.Marshal(list)
 		if changed {
 			p.changed = false
 		}
--- a/internal/routetable/routetable.go
+++ b/internal/routetable/routetable.go
@@ -96,6 +96,7 @@
 	services  map[string]*Service
 	customers map[string]*Customer
 	byName    map[string]*Customer
+	forwarded map[string]bool
 	keyed     bool
 	limits    Limits
 }
@@ -104,11 +105,14 @@
 func New(version int64, routes []*Route, services []*Service, customers []*Customer, limits Limits) *Table {
 	t := &Table{
 		version: version, routes: map[string][]*Route{}, services: map[string]*Service{},
-		customers: map[string]*Customer{}, byName: map[string]*Customer{}, keyed: len(customers) > 0, limits: limits,
+		customers: map[string]*Customer{}, byName: map[string]*Customer{}, forwarded: map[string]bool{}, keyed: len(customers) > 0, limits: limits,
 	}
 	for _, r := range routes {
 		host := strings.ToLower(r.Host)
 		t.routes[host] = append(t.routes[host], r)
+		for _, share := range r.Shares {
+			t.forwarded[share.Service] = t.forwarded[share.Service] || r.Kind != Rollout
+		}
 	}
 	for _, list := range t.routes {
 		sort.SliceStable(list, func(i, j int) bool { return len(list[i].Prefix) > len(list[j].Prefix) })
--- a/internal/routetable/view.go
+++ b/internal/routetable/view.go
@@ -40,6 +40,13 @@
 // Table returns the configuration in force; nil before the first.
 func (v *View) Table() *Table { return v.table.Load() }
 
+// Forwarded tells whether entry instances send requests to a service: items
+// of jobs are sent by the scheduler.
+func (v *View) Forwarded(service string) bool {
+	t := v.Table()
+	return t != nil && t.forwarded[service]
+}
+
 // Versions returns the version of the weights that was named last, by model.
 func (v *View) Versions() map[string]int64 {
 	v.mu.Lock()
