--- a/internal/batch/ledger_test.go
+++ b/internal/batch/ledger_test.go
@@ -148,3 +148,25 @@
 	require.NoError(t, err)
 	require.Equal(t, job.Items, loaded.Items)
 }
+
+// TestDelete asserts that nothing of a removed job is left, however many keys
+// it has.
+func TestDelete(t *testing.T) {
+	store := kvtest.New(1, kvtest.Faults{}).Client()
+	ledger := batch.NewLedger(store)
+	job := newJob("j", 70)
+	require.NoError(t, ledger.Submit(t.Context(), job))
+	revision, err := store.Commit(t.Context(), kv.Txn{Puts: []kv.Put{{Key: "duty"}}})
+	require.NoError(t, err)
+	fence := kv.Condition{Key: "duty", Revision: revision}
+	for i, item := range job.Items {
+		require.NoError(t, ledger.Append(t.Context(), fence, job.Record(), i, []batch.Result{{ID: item.ID}}))
+		require.NoError(t, ledger.SavePartials(t.Context(), fence, "j", []batch.Partial{{Item: item.ID}}))
+	}
+	require.NoError(t, ledger.End(t.Context(), "j", "a"))
+	require.ErrorIs(t, ledger.Delete(t.Context(), kv.Condition{Key: "duty", Revision: revision + 1}, "j"), kv.ErrConflict)
+	require.NoError(t, ledger.Delete(t.Context(), fence, "j"))
+	left, _, err := kv.All(t.Context(), store, "")
+	require.NoError(t, err)
+	require.Len(t, left, 1, "the duty alone is left")
+}
--- a/internal/meter/reporter.go
+++ b/internal/meter/reporter.go
@@ -20,6 +20,9 @@
 	// settleAfter is how long after its end a window is sealed: entry instances
 	// have written their last counts by then.
 	settleAfter = flushSpread + 1500*time.Millisecond
+	// sweepMost is how many counts the sealing write removes; the store takes 32
+	// entries a write.
+	sweepMost = 28
 	// reportPause is the pause between two looks at what is due.
 	reportPause = 500 * time.Millisecond
 )
@@ -106,11 +109,14 @@
 	}
 	total := map[string]int64{}
 	txn := kv.Txn{Conditions: []kv.Condition{r.fence, {Key: key}}}
-	for _, item := range items {
+	for i, item := range items {
 		counts, err := decodeCounts(item.Value)
 		if err != nil {
 			return nil, err
 		}
+		if i < sweepMost {
+			txn.Deletes = append(txn.Deletes, item.Key)
+		}
 		for customer, n := range counts {
 			total[customer] += n
 		}
--- /dev/null
+++ b/internal/scheduler/commit.go
@@ -0,0 +1,94 @@
+package scheduler
+
+import (
+	"context"
+	"time"
+
+	"cactusspoke/internal/batch"
+
+	"go.uber.org/zap"
+)
+
+// finishText scores a whole text, or finishes an item without a reward call.
+func (s *Scheduler) finishText(t *task) {
+	result := batch.Result{ID: t.item.ID, Completed: true, Text: string(t.text.data), Versions: t.text.versions}
+	if t.item.Reward == nil {
+		s.finish(t, result)
+		return
+	}
+	ctx, cancel := context.WithCancel(s.ctx)
+	t.state = taskScoring
+	t.cancel = cancel
+	go func() {
+		seal, ok := s.score(ctx, t.item.Reward)
+		ended := ctx.Err() != nil && !ok
+		cancel()
+		s.post(func() {
+			if t.job.ended || ended {
+				return
+			}
+			result.Score = seal
+			if !ok {
+				s.Log.Info("item: given up, its reward call failed for good", zap.String("id", t.item.ID),
+					zap.String("job", t.job.spec.ID), zap.String("reward", t.item.Reward.ID))
+				result = batch.Result{ID: t.item.ID}
+			}
+			s.finish(t, result)
+		})
+	}()
+}
+
+func (s *Scheduler) finish(t *task, r batch.Result) {
+	t.state = taskDone
+	t.cancel = nil
+	if len(t.job.finished) == 0 {
+		t.job.firstAt = time.Now()
+	}
+	t.job.finished = append(t.job.finished, r)
+	t.text = nil
+}
+
+// commit writes the finished items of each job that is due for it.
+func (s *Scheduler) commit(now time.Time) {
+	for _, j := range s.jobs {
+		if j.committing || len(j.finished) == 0 {
+			continue
+		}
+		if now.Sub(j.firstAt) < commitEvery && len(j.finished) < j.left {
+			continue
+		}
+		size, n := 0, 0
+		for n < len(j.finished) && (n == 0 || size < commitBytes) {
+			size += len(j.finished[n].Text) + 200
+			n++
+		}
+		batch := j.finished[:n:n]
+		j.finished = j.finished[n:]
+		j.firstAt = now
+		j.committing = true
+		go s.write(j, j.committed, batch)
+	}
+}
+
+// write tries one commit until its outcome is known.
+func (s *Scheduler) write(j *job, position int, results []batch.Result) {
+	for s.ctx.Err() == nil {
+		err := s.Ledger.Append(s.ctx, s.Fence(), j.spec.Record(), position, results)
+		if err == nil {
+			s.Log.Info("job: results committed", zap.String("id", j.spec.ID), zap.Int("position", position), zap.Int("results", len(results)))
+			s.post(func() {
+				j.committing = false
+				j.committed += len(results)
+				j.left -= len(results)
+				if j.left == 0 {
+					s.Log.Info("job: all results committed", zap.String("id", j.spec.ID),
+						zap.Duration("age", time.Since(time.UnixMilli(j.spec.SubmittedAt))))
+				}
+			})
+			return
+		}
+		s.Log.Warn("job: results not committed yet", zap.String("id", j.spec.ID), zap.Int("position", position),
+			zap.String("reason", err.Error()))
+		sleep(s.ctx, commitPause)
+	}
+}
--- /dev/null
+++ b/internal/scheduler/place.go
@@ -0,0 +1,226 @@
+package scheduler
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"cactusspoke/internal/batch"
+	"cactusspoke/internal/pool"
+
+	"go.uber.org/zap"
+)
+
+// schedule puts waiting texts at engines with room.
+func (s *Scheduler) schedule(now time.Time) {
+	table := s.View.Table()
+	if table == nil {
+		return
+	}
+	byService := map[string][]waiting{}
+	var tasks []*task
+	running := map[string][]*task{}
+	for _, j := range s.jobs {
+		for _, t := range j.tasks {
+			if t.state != taskWaiting && t.state != taskRunning {
+				continue
+			}
+			route, ok := table.Match(j.spec.Host, t.item.Path)
+			if !ok {
+				continue
+			}
+			service := route.Pick(0.5)
+			if t.state == taskRunning {
+				running[service] = append(running[service], t)
+				continue
+			}
+			byService[service] = append(byService[service], waiting{
+				index: len(tasks), priority: j.priority, due: j.due, carried: t.carried, left: t.hint, min: j.spec.MinVersion,
+			})
+			tasks = append(tasks, t)
+		}
+	}
+	for service, list := range running {
+		s.demand.note(service, len(list)+len(byService[service]), now)
+	}
+	for service, texts := range byService {
+		if len(running[service]) == 0 {
+			s.demand.note(service, len(texts), now)
+		}
+		rank(texts)
+		s.startAll(tasks, texts, service, now)
+	}
+	for service, list := range running {
+		s.observe(list, now)
+		if len(byService[service]) == 0 {
+			s.move(list, service, now)
+		}
+	}
+}
+
+// observe takes in how fast the running texts are made.
+func (s *Scheduler) observe(running []*task, now time.Time) {
+	for _, t := range running {
+		if speed := t.run.speed(now); speed > 0 && now.Sub(t.observedAt) >= observeEvery {
+			t.observedAt = now
+			s.engine(t.run.server.ID).measure(now, speed)
+		}
+	}
+}
+
+// move ends runs at slow engines where a faster one has room; their texts go
+// on there.
+func (s *Scheduler) move(running []*task, service string, now time.Time) {
+	servers := s.Pool.Servers(service)
+	byModel := map[string][]place{}
+	slices.SortStableFunc(running, func(a, b *task) int { return cmp.Compare(a.job.priority, b.job.priority) })
+	for _, t := range running {
+		speed := t.run.speed(now)
+		if speed == 0 || t.moving {
+			continue
+		}
+		model := t.job.spec.Model
+		if _, ok := byModel[model]; !ok {
+			byModel[model] = s.places(servers, model, now)
+		}
+		i, ok := better(speed, t.run.before+int(t.run.made.Load()), t.run.server.ID, t.job.spec.MinVersion, byModel[model])
+		if !ok {
+			continue
+		}
+		to := byModel[model][i]
+		s.Log.Info("item: moved to a faster engine", zap.String("id", t.item.ID), zap.String("job", t.job.spec.ID), zap.String("server", t.run.server.ID),
+			zap.Float64("speed", speed), zap.String("to", to.id), zap.Float64("expected", to.speed))
+		for _, list := range byModel {
+			occupy(list, to.id)
+		}
+		t.moving = true
+		t.cancel()
+	}
+}
+
+func (s *Scheduler) startAll(tasks []*task, texts []waiting, service string, now time.Time) {
+	servers := s.Pool.Servers(service)
+	byModel := map[string][]place{}
+	for _, text := range texts {
+		model := tasks[text.index].job.spec.Model
+		if _, ok := byModel[model]; !ok {
+			byModel[model] = s.places(servers, model, now)
+		}
+		for _, a := range assign([]waiting{text}, byModel[model]) {
+			s.begin(tasks[a.index], a.server)
+			for other, list := range byModel {
+				if other != model {
+					occupy(list, a.server)
+				}
+			}
+		}
+	}
+}
+
+func occupy(places []place, server string) {
+	for i := range places {
+		if places[i].id == server {
+			places[i].free--
+			places[i].running++
+		}
+	}
+}
+
+// places returns the engines with room for a model's texts.
+func (s *Scheduler) places(servers []pool.Snapshot, model string, now time.Time) []place {
+	var out []place
+	for _, snapshot := range servers {
+		e := s.engine(snapshot.Server.ID)
+		if snapshot.Server.Draining || snapshot.Ejected || now.Before(e.coldUntil) {
+			continue
+		}
+		out = append(out, place{
+			id: snapshot.Server.ID, free: max(1, snapshot.Server.Slots) - snapshot.Running, running: snapshot.Running,
+			version: snapshot.Server.Models[model], speed: e.expected(now),
+		})
+	}
+	return out
+}
+
+func (s *Scheduler) engine(id string) *engine {
+	e, ok := s.engines[id]
+	if !ok {
+		e = &engine{speed: firstSpeed}
+		s.engines[id] = e
+	}
+	return e
+}
+
+// begin runs a task at a server.
+func (s *Scheduler) begin(t *task, server string) {
+	handle, ok := s.Pool.TakeServer(server)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithCancel(s.ctx)
+	t.state = taskRunning
+	t.cancel = cancel
+	t.run = &run{
+		headers: s.Headers, client: s.Backends, job: t.job.spec, item: t.item, server: handle.Server(),
+		until: t.job.until, priority: min(engineLowest, enginePriority+t.job.priority), single: t.job.single, text: t.text, before: t.text.events,
+	}
+	if t.carried {
+		t.run.priority--
+	}
+	s.Log.Info("item: placed", zap.String("id", t.item.ID), zap.String("job", t.job.spec.ID), zap.String("server", handle.Server().ID),
+		zap.Int64("version", handle.Server().Models[t.job.spec.Model]), zap.Int("events", t.text.events), zap.Int("hint", t.hint),
+		zap.Bool("carried", t.carried), zap.Duration("until-due", time.Until(t.job.due)))
+	r := t.run
+	go func() {
+		o := r.do(ctx)
+		cancel()
+		s.post(func() { s.ran(t, r, handle, o) })
+	}()
+}
+
+// ran takes in the end of a run.
+func (s *Scheduler) ran(t *task, r *run, handle *pool.Handle, o outcome) {
+	e := s.engine(handle.Server().ID)
+	now := time.Now()
+	s.Figures.Count("runs_total", "outcome", o.String())
+	t.state = taskWaiting
+	t.run = nil
+	t.moving = false
+	if o != outcomeWhole && o != outcomeStopped {
+		s.Log.Info("item: run ended", zap.String("id", t.item.ID), zap.String("job", t.job.spec.ID), zap.String("server", handle.Server().ID),
+			zap.Stringer("outcome", o), zap.String("reason", r.reason), zap.Int("events", t.text.events))
+	}
+	switch o {
+	case outcomeWhole:
+		handle.Done(pool.Served)
+		t.whole = true
+	case outcomeBroken:
+		handle.Done(pool.Failed)
+		e.coldUntil = now.Add(brokenPause)
+	case outcomeNotRun:
+		handle.Done(pool.Abandoned)
+		e.coldUntil = now.Add(refusedPause)
+	case outcomeStale:
+		handle.Done(pool.Abandoned)
+		e.coldUntil = now.Add(refusedPause)
+	case outcomeMoved:
+		handle.Done(pool.Misaddressed)
+	case outcomeFailed, outcomeInvalid:
+		handle.Done(pool.Abandoned)
+		t.failures++
+	case outcomeStopped:
+		handle.Done(pool.Abandoned)
+	}
+	if t.job.ended {
+		s.keep(t)
+		return
+	}
+	switch {
+	case t.whole:
+		s.finishText(t)
+	case o == outcomeInvalid || t.failures >= t.job.tries:
+		s.Log.Info("item: given up", zap.String("id", t.item.ID), zap.String("job", t.job.spec.ID), zap.Stringer("outcome", o), zap.Int("failures", t.failures))
+		s.finish(t, batch.Result{ID: t.item.ID})
+	}
+}
