Nothing unused is left in the new packages; parts follow the store's own limit

Cause: reading the diff as a newcomer: functions, fields and settings that nothing uses, and a fixed 600 KB where the platform states how large a value may be. Change: they are gone, so fewer fields are required of the settings file; parts of jobs, results and texts stay under the stated limit.

--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -77,9 +77,14 @@
 	endSuffix    = "/end"
 )
 
-// chunkBytes bounds a chunk of a job's content, well under the store's limit
-// of a megabyte a value and a page.
-const chunkBytes = 600 << 10
+const (
+	// valueShare is the part of the store's limit of a value that a part of a
+	// job's content fills, as reckoned before it is encoded.
+	valueShare = 0.6
+	// partMost bounds a part of a job's content in bytes: the store's pages hold
+	// a megabyte.
+	partMost = 600 << 10
+)
 
 func jobKey(id string) string { return JobPrefix + id + jobSuffix }
 
@@ -209,9 +214,9 @@
 	Items      []wireItem `json:"items"`
 }
 
-// encodeJob returns the parts of a job's content, each under chunkBytes
+// encodeJob returns the parts of a job's content, each of about limit bytes
 // unless a single item is larger.
-func encodeJob(j *Job) [][]byte {
+func encodeJob(j *Job, limit int) [][]byte {
 	var parts [][]byte
 	head := wirePart{j.Host, j.Route, j.Model, j.Step, j.MinVersion, j.Wanted, nil}
 	size := 0
@@ -232,7 +237,7 @@
 			size += len(r.Body) + len(r.Path)
 		}
 		head.Items = append(head.Items, w)
-		if size*4/3 > chunkBytes {
+		if size*4/3 > limit {
 			flush()
 		}
 	}
--- a/internal/batch/ledger.go
+++ b/internal/batch/ledger.go
@@ -40,21 +40,23 @@
 // Ledger reads and writes jobs in the store. It is safe for concurrent use.
 type Ledger struct {
 	store kv.Store
+	limit int
 
 	mu      sync.Mutex
 	records map[string]cachedRecord
 	jobs    []*Job
 }
 
-// NewLedger returns a ledger.
-func NewLedger(store kv.Store) *Ledger {
-	return &Ledger{store: store, records: map[string]cachedRecord{}}
+// NewLedger returns a ledger in a store that takes values of so many bytes.
+func NewLedger(store kv.Store, valueBytes int) *Ledger {
+	limit := min(partMost, int(valueShare*float64(valueBytes)))
+	return &Ledger{store: store, limit: limit, records: map[string]cachedRecord{}}
 }
 
 // Submit accepts a job once. A nil error says that the job is in the store.
 // kv.ErrRefused says that nothing of it is and that no write is on its way.
 func (l *Ledger) Submit(ctx context.Context, j *Job) error {
-	parts := encodeJob(j)
+	parts := encodeJob(j, l.limit)
 	record := Record{j.ID, j.Customer, len(j.Items), len(parts), j.SubmittedAt}
 	for len(parts) > partsPerWrite {
 		if err := l.writeParts(ctx, j.ID, record.Parts-len(parts), parts[:partsPerWrite]); err != nil {
@@ -352,6 +354,9 @@
 	return out, nil
 }
 
+// Limit returns how many bytes of results or texts one write may hold.
+func (l *Ledger) Limit() int { return l.limit }
+
 // Fence is the condition under which the holder of a duty writes.
 type Fence = kv.Condition
 
--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -83,9 +83,8 @@
 
 // Client keeps connections to many peers. It is safe for concurrent use.
 type Client struct {
-	mu     sync.Mutex
-	idle   map[string][]*conn
-	opened uint64
+	mu   sync.Mutex
+	idle map[string][]*conn
 }
 
 // NewClient returns a client without connections.
@@ -119,24 +118,6 @@
 	return &Response{inner: response, conn: cn, client: c, release: release, ctx: ctx}, nil
 }
 
-// DropIdle closes the idle connections to an address.
-func (c *Client) DropIdle(address string) {
-	c.mu.Lock()
-	conns := c.idle[address]
-	delete(c.idle, address)
-	c.mu.Unlock()
-	for _, cn := range conns {
-		_ = cn.Close()
-	}
-}
-
-// Opened returns how many connections were opened so far.
-func (c *Client) Opened() uint64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.opened
-}
-
 func (c *Client) take(ctx context.Context, address string) (*conn, error) {
 	for {
 		cn := c.pop(address)
@@ -184,9 +165,6 @@
 	if err != nil {
 		return nil, Class.Wrap(err)
 	}
-	c.mu.Lock()
-	c.opened++
-	c.mu.Unlock()
 	return &conn{Conn: inner, reader: bufio.NewReaderSize(inner, readBuffer), address: address}, nil
 }
 
@@ -284,9 +262,6 @@
 // Headers returns all headers.
 func (r *Response) Headers() http.Header { return r.inner.Header }
 
-// Length returns the length of the body in bytes, -1 where it is not stated.
-func (r *Response) Length() int64 { return r.inner.ContentLength }
-
 // Read reads the body. io.EOF is returned only where the body is whole.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.inner.Body.Read(p)
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -102,8 +102,8 @@
 	address, closeStore := c.store.Listen(door)
 	s := &node.Settings{
 		Name: name, IP: "127.0.0.1", FailureDomain: zone, Store: address, Cloud: c.cloud.Address,
-		ValueBytes: 1 << 20, LeaseMin: time.Second, Heartbeat: time.Second, Contact: time.Second,
-		HolderGap: time.Second, Thaw: 100 * time.Millisecond, Grace: 3 * time.Second, UsageWindow: time.Second,
+		ValueBytes: 1 << 20,
+		HolderGap:  time.Second, Grace: 3 * time.Second, UsageWindow: time.Second,
 		UsageDue: 10 * time.Second, KeepMax: time.Second, JobStatus: time.Minute, MemoryLimit: 256 << 20,
 	}
 	ctx, stop := context.WithCancel(context.Background())
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -19,16 +19,8 @@
 	Cloud string
 	// ValueBytes bounds one value in the store.
 	ValueBytes int
-	// LeaseMin is the shortest lease that the store grants.
-	LeaseMin time.Duration
-	// Heartbeat is how often a backend server writes to the store.
-	Heartbeat time.Duration
-	// Contact is the time after which a disruption is over for all rules.
-	Contact time.Duration
 	// HolderGap is the least time before a duty may return to a former holder.
 	HolderGap time.Duration
-	// Thaw is how long orders wait after this process stood still.
-	Thaw time.Duration
 	// Grace is the time between the signal to stop and the end of the process.
 	Grace time.Duration
 	// UsageWindow is the length of a usage window.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -310,19 +310,6 @@
 	return out
 }
 
-// Models returns the models that servers of any service hold.
-func (p *Pool) Models() map[string]bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	out := map[string]bool{}
-	for _, s := range p.servers {
-		for model := range s.server.Models {
-			out[model] = true
-		}
-	}
-	return out
-}
-
 // Learn notes the version of a model's weights that a server's own answer
 // told, which is newer than its entry in the list.
 func (p *Pool) Learn(id, model string, version int64) {
--- a/internal/scheduler/checkpoint.go
+++ b/internal/scheduler/checkpoint.go
@@ -18,8 +18,6 @@
 	saveFrom = 16
 	// saveMost bounds the texts in one write; the store takes 32 entries.
 	saveMost = 28
-	// saveBytes bounds one write of texts.
-	saveBytes = 600 << 10
 	// lastSave bounds the last write of a holder that gives the duty up.
 	lastSave = 300 * time.Millisecond
 )
@@ -55,7 +53,7 @@
 	for id, j := range s.jobs {
 		size := 0
 		for _, t := range j.tasks {
-			if t.state != taskRunning || t.run == nil || len(writes[id]) >= saveMost || size > saveBytes {
+			if t.state != taskRunning || t.run == nil || len(writes[id]) >= saveMost || size > s.Ledger.Limit() {
 				continue
 			}
 			events := t.run.before + int(t.run.made.Load())
--- a/internal/scheduler/commit.go
+++ b/internal/scheduler/commit.go
@@ -58,7 +58,7 @@
 			continue
 		}
 		size, n := 0, 0
-		for n < len(j.finished) && (n == 0 || size < commitBytes) {
+		for n < len(j.finished) && (n == 0 || size < s.Ledger.Limit()) {
 			size += len(j.finished[n].Text) + 200
 			n++
 		}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -27,8 +27,6 @@
 	commitEvery = 150 * time.Millisecond
 	// commitPause is the pause before a failed write is tried again.
 	commitPause = 100 * time.Millisecond
-	// commitBytes bounds one write of results.
-	commitBytes = 500 << 10
 	// mailboxSize bounds the events that wait for the loop.
 	mailboxSize = 1024
 	// refusedPause keeps an engine that refused an item from getting others.
