--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -63,7 +63,6 @@
 	Pool          *pool.Pool
 	Backends      *http1.Client
 	Ledger        *batch.Ledger
-	Store         kv.Store
 	Fence         func() kv.Condition
 	Valid         func() bool
 	Figures       *telemetry.Set
