--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -89,12 +90,23 @@
 	return c
 }
 
+// nextPort counts up through ports under those that the system hands out to
+// connections, so that no test's client takes one of them.
+var nextPort atomic.Int32
+
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+	for range 1000 {
+		address := fmt.Sprintf("127.0.0.1:%d", 12000+nextPort.Add(1))
+		l, err := net.Listen("tcp4", address)
+		if err != nil {
+			continue
+		}
+		require.NoError(t, l.Close())
+		return address
+	}
+	t.Fatal("no free port")
+	return ""
 }
 
 func (c *cluster) start(name string, door int, entry bool) *process {
@@ -104,7 +116,7 @@
 		Name: name, IP: "127.0.0.1", FailureDomain: zone, Store: address, Cloud: c.cloud.Address,
 		ValueBytes: 1 << 20,
 		HolderGap:  time.Second, Grace: 3 * time.Second, UsageWindow: time.Second,
-		UsageDue: 10 * time.Second, KeepMax: time.Second, JobStatus: time.Minute, MemoryLimit: 256 << 20,
+		UsageDue: 10 * time.Second, KeepMax: time.Second, JobStatus: time.Minute, MemoryLimit: 256 << 20, Domains: []string{zone},
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	p := &process{settings: s, door: door, out: &output{}, stop: stop, done: make(chan struct{})}
@@ -152,7 +164,10 @@
 		"Version": version, "Routes": all,
 		"Services": []map[string]any{
 			{"Name": "plain", "HealthPath": "/health", "MaxConns": 50},
-			{"Name": "engines", "HealthPath": "/health", "MaxConns": 50, "Engine": map[string]any{"Models": []map[string]any{{"Name": model}}}},
+			{
+				"Name": "engines", "HealthPath": "/health", "MaxConns": 50, "Engine": map[string]any{"Models": []map[string]any{{"Name": model}}},
+				"Scaling": map[string]any{"Min": 1, "Max": 5, "BootS": 1, "SpotPrice": 0.2, "ZonePrices": map[string]any{zone: 1}},
+			},
 		},
 		"Limits":  map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 1 << 20},
 		"Tenants": []map[string]any{{"Name": "a", "ApiKeys": []string{key}}, {"Name": "b", "ApiKeys": []string{otherKey}}},
--- a/internal/node/duty_test.go
+++ b/internal/node/duty_test.go
@@ -110,3 +110,26 @@
 		})
 	}
 }
+
+// TestScale asserts that engines are ordered for the texts of a step, within
+// the bounds of the service and under the holder's token.
+func TestScale(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 1, 2)
+	c.configure(1, nil)
+	c.ready()
+	for _, w := range c.engines {
+		w.Pause(50 * time.Millisecond)
+	}
+	require.Equal(t, http.StatusAccepted, c.call(c.entries[0], http.MethodPost, "/jobs/j", "j", key, job("j", 40, 1, nil), nil).status)
+	c.eventually(func() bool { return len(c.cloud.Scales()) > 0 })
+	fence := c.cloud.Scales()[0].Fence
+	require.Positive(t, fence)
+	for _, order := range c.cloud.Scales() {
+		require.Equal(t, "engines", order.Service)
+		require.Equal(t, zone, order.Zone)
+		require.Equal(t, 5, order.Desired, "40 texts at 4 slots an engine, 5 engines at most")
+		require.Equal(t, fence, order.Fence)
+	}
+	requireWhole(t, "j", 40, 5, c.finish(c.entries[0], "j"))
+}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -102,6 +103,10 @@
 			for _, s := range ran(id) {
 				require.Empty(t, s.Key, "the key went on")
 				require.Equal(t, "body", s.Body)
+				left, err := strconv.Atoi(s.Deadline)
+				require.NoError(t, err)
+				require.LessOrEqual(t, left, 900, "the route's time bounds the caller's 2 s")
+				require.Positive(t, left)
 				if tt.key == key {
 					require.Equal(t, "a", s.Tenant)
 				} else {
--- a/internal/web/server.go
+++ b/internal/web/server.go
@@ -66,7 +66,15 @@
 // requests.
 func (s *Server) Serve(ctx context.Context) error {
 	failed := make(chan error, 1)
-	go func() { failed <- s.hertz.Run() }()
+	go func() {
+		// The library panics where the address is taken.
+		defer func() {
+			if problem := recover(); problem != nil {
+				failed <- Class.New("%v", problem)
+			}
+		}()
+		failed <- s.hertz.Run()
+	}()
 	select {
 	case err := <-failed:
 		return Class.Wrap(err)
--- a/internal/web/web_test.go
+++ b/internal/web/web_test.go
@@ -159,3 +159,12 @@
 		require.NotErrorIs(t, err, web.ErrNotSent, "it may have arrived")
 	}
 }
+
+// TestAddressTaken asserts that a taken address is an error, not a panic.
+func TestAddressTaken(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	server := web.NewServer(l.Addr().String(), 1<<10, time.Second)
+	require.ErrorContains(t, server.Serve(t.Context()), "address already in use")
+}
