--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -155,6 +155,10 @@
 	if !s.identify(c, r, table, route.Public) {
 		return
 	}
+	if limit := table.Limits().BodyBytes; limit > 0 && len(c.Request.Body()) > limit {
+		s.refuse(c, r, http.StatusRequestEntityTooLarge, 0, "body over the operator's limit")
+		return
+	}
 	r.deadline = s.deadline(c, r)
 	if route.Kind == routetable.Rollout {
 		s.submit(ctx, c, r)
--- a/internal/node/job_test.go
+++ b/internal/node/job_test.go
@@ -71,6 +71,9 @@
 	for _, body := range [][]byte{[]byte("{"), []byte("{}"), twice} {
 		require.Equal(t, http.StatusBadRequest, c.call(c.entries[0], http.MethodPost, "/jobs/bad", "bad", key, body, nil).status)
 	}
+	large := make([]byte, 1<<20+1)
+	require.Equal(t, http.StatusRequestEntityTooLarge, c.call(c.entries[0], http.MethodPost, "/jobs/bad", "bad", key, large, nil).status)
+	require.Equal(t, http.StatusRequestEntityTooLarge, c.call(c.entries[0], http.MethodPost, "/safe/x", "large", key, large, nil).status)
 	require.Empty(t, c.store.Keys("job/"))
 }
 
