Loads at the weight store's rate and by model, engines known by their speed, decisive results at once

Also: one lost answer to a renewal cost the duty (its call waited 1.5 s of a 1.6 s lease); an entry instance whose store is silent found out after 30 s, so reads of results took seconds; log lines were lost in writes over 4 KiB. Change: planLoads, homes, loadRate; speeds; groups and commitWait; moves before starts, with the place kept; renewals that do not wait for each other, lease 1.2 s; kv.Reach; failed log writes are counted.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -24,6 +24,9 @@
 	registrationTTL = 2500 * time.Millisecond
 	// renewEvery leaves a second try before a registration lapses.
 	renewEvery = 1100 * time.Millisecond
+	// renewTimeout bounds one renewal: the store answers within half a second
+	// on a bad day, and one that does not is out of reach.
+	renewTimeout = 600 * time.Millisecond
 	// lapseGrace is how long a registration that vanished around an outage of
 	// the store is still named.
 	lapseGrace = 3 * time.Second
@@ -149,13 +152,6 @@
 	return len(d.members)
 }
 
-// StoreReachable tells whether the last call to the store succeeded.
-func (d *Directory) StoreReachable() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.reachable
-}
-
 func first(list []string, n int) []string { return list[:min(n, len(list))] }
 
 // Registration keeps this instance in the directory.
@@ -201,13 +197,21 @@
 func (r *Registration) keep(ctx context.Context, lease kv.LeaseID) {
 	for ctx.Err() == nil {
 		kv.Sleep(ctx, renewEvery)
-		if errors.Is(r.store.Keep(ctx, lease), kv.ErrNotFound) {
-			r.log.Warn("directory: registration lapsed")
-			return
+		if r.renew(ctx, lease) {
+			continue
 		}
+		r.log.Warn("directory: registration lapsed")
+		return
 	}
 }
 
+// renew renews the lease once and reports whether it may still hold.
+func (r *Registration) renew(ctx context.Context, lease kv.LeaseID) bool {
+	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
+	defer cancel()
+	return !errors.Is(r.store.Keep(ctx, lease), kv.ErrNotFound)
+}
+
 func (r *Registration) leave(lease kv.LeaseID) {
 	ctx, cancel := context.WithTimeout(context.Background(), renewEvery)
 	defer cancel()
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -50,7 +50,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, jobCallTimeout)
 	defer cancel()
-	if !s.Directory.StoreReachable() && s.relay(ctx, c, r) {
+	if !s.StoreReachable() && s.relay(ctx, c, r) {
 		return true
 	}
 	serve(ctx, c, r, id)
@@ -77,7 +77,7 @@
 	job.SubmittedAt = r.arrived.UnixMilli()
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
-	if !s.Directory.StoreReachable() && s.relay(ctx, c, r) {
+	if !s.StoreReachable() && s.relay(ctx, c, r) {
 		return
 	}
 	err = s.Ledger.Submit(ctx, job)
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -46,18 +46,20 @@
 
 // Parts is what a server works with.
 type Parts struct {
-	Headers   protocol.Headers
-	Paths     protocol.Paths
-	Codec     Codec
-	View      *routetable.View
-	Pool      *pool.Pool
-	Backends  *http1.Client
-	Ledger    *batch.Ledger
-	Directory *directory.Directory
-	Meter     *meter.Meter
-	Poison    *poison.List
-	Figures   *telemetry.Set
-	Log       *zap.Logger
+	Headers  protocol.Headers
+	Paths    protocol.Paths
+	Codec    Codec
+	View     *routetable.View
+	Pool     *pool.Pool
+	Backends *http1.Client
+	Ledger   *batch.Ledger
+	// StoreReachable tells whether the last call reached the store.
+	StoreReachable func() bool
+	Directory      *directory.Directory
+	Meter          *meter.Meter
+	Poison         *poison.List
+	Figures        *telemetry.Set
+	Log            *zap.Logger
 	// Address is where callers reach this instance.
 	Address       string
 	FailureDomain string
--- /dev/null
+++ b/internal/kv/reach_test.go
@@ -0,0 +1,51 @@
+package kv_test
+
+import (
+	"context"
+	"testing"
+
+	"cactusspoke/internal/kv"
+	"cactusspoke/internal/kv/kvtest"
+
+	"github.com/stretchr/testify/require"
+)
+
+// failing is a store whose renewals end with an error.
+type failing struct {
+	kv.Store
+	err error
+}
+
+func (f *failing) Keep(context.Context, kv.LeaseID) error { return f.err }
+
+// TestReach asserts which errors say that the store is out of reach.
+func TestReach(t *testing.T) {
+	tests := []struct {
+		name string
+		err  error
+		want bool
+	}{
+		{"an answer", nil, true},
+		{"a lease that has ended", kv.ErrNotFound, true},
+		{"a condition that does not hold", kv.ErrConflict, true},
+		{"turned away", kv.ErrRefused, false},
+		{"no answer", kv.ErrUnknown, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			store := &failing{Store: kvtest.New(1, kvtest.Faults{}).Client(), err: tt.err}
+			reach := kv.NewReach(store)
+			require.True(t, reach.Reachable())
+			_ = reach.Keep(t.Context(), 1)
+			require.Equal(t, tt.want, reach.Reachable())
+			cancelled, cancel := context.WithCancel(t.Context())
+			cancel()
+			store.err = kv.ErrUnknown
+			_ = reach.Keep(cancelled, 1)
+			require.Equal(t, tt.want, reach.Reachable(), "a call that its caller ended tells nothing")
+			store.err = nil
+			_ = reach.Keep(t.Context(), 1)
+			require.True(t, reach.Reachable())
+		})
+	}
+}
--- a/internal/logs/async.go
+++ b/internal/logs/async.go
@@ -13,8 +13,8 @@
 const (
 	// queuedLines bounds the lines that wait for a slow reader of the output.
 	queuedLines = 2048
-	// batchBytes bounds one write to the output.
-	batchBytes = 16 << 10
+	// batchBytes bounds one write to the output: a pipe takes that much whole.
+	batchBytes = 4 << 10
 	// sampleTick, sampleFirst and sampleEach bound how often one message is
 	// written: the first in each tick, and then one in each so many.
 	sampleTick  = time.Second
@@ -74,16 +74,25 @@
 	for {
 		select {
 		case line := <-w.lines:
-			_, _ = out.Write(w.batch(line))
+			w.write(out, w.batch(line))
 		case done := <-w.idle:
 			for len(w.lines) > 0 {
-				_, _ = out.Write(w.batch(<-w.lines))
+				w.write(out, w.batch(<-w.lines))
 			}
 			close(done)
 		}
 	}
 }
 
+// write writes lines to the output and counts those that did not get there
+// whole.
+func (w *Writer) write(out io.Writer, lines []byte) {
+	n, err := out.Write(lines)
+	if err != nil {
+		w.dropped.Add(uint64(bytes.Count(lines[n:], []byte("\n"))))
+	}
+}
+
 // batch joins the lines that wait into one write.
 func (w *Writer) batch(first []byte) []byte {
 	batch := first
--- a/internal/logs/async_test.go
+++ b/internal/logs/async_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"strings"
 	"sync"
 	"testing"
@@ -69,3 +70,24 @@
 	require.Positive(t, sampled)
 	require.Equal(t, 4000-int(sampled), out.lines())
 }
+
+// short is an output that takes a part of each write and fails.
+type short struct{ takes int }
+
+func (s short) Write(p []byte) (int, error) {
+	n := min(s.takes, len(p))
+	return n, io.ErrShortWrite
+}
+
+// TestFailedWritesAreCounted asserts that lines which the output did not take
+// are not lost in silence.
+func TestFailedWritesAreCounted(t *testing.T) {
+	w := logs.NewWriter(short{4})
+	for range 10 {
+		_, err := w.Write([]byte("line\n"))
+		require.NoError(t, err)
+	}
+	require.NoError(t, w.Sync())
+	full, _ := w.Dropped()
+	require.EqualValues(t, 10, full)
+}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -77,7 +77,7 @@
 	defer stop()
 	s := e.settings
 	backends := http1.NewClient()
-	store := kv.Counted(e.adapter.Store(http1.NewClient(), s.Store), e.figures)
+	store := kv.NewReach(kv.Counted(e.adapter.Store(http1.NewClient(), s.Store), e.figures))
 	view := routetable.NewView(e.adapter.Decoder, e.log, func() {})
 	servers := pool.New(e.adapter.DecodeServer, e.log, func() {})
 	entries := directory.New()
@@ -86,7 +86,7 @@
 	server := ingress.New(ingress.Parts{
 		Headers: e.adapter.Headers, Paths: e.adapter.Paths, Codec: e.adapter.Codec,
 		View: view, Pool: servers, Backends: backends, Ledger: batch.NewLedger(store, s.ValueBytes),
-		Directory: entries, Meter: count, Poison: list, Figures: e.figures, Log: e.log,
+		StoreReachable: store.Reachable, Directory: entries, Meter: count, Poison: list, Figures: e.figures, Log: e.log,
 		Address: s.Front, FailureDomain: s.FailureDomain, KeepMax: s.KeepMax,
 	})
 	source := pool.NewSource(servers, func(ctx context.Context, view kv.View) error {
--- a/internal/scheduler/commit.go
+++ b/internal/scheduler/commit.go
@@ -11,6 +11,7 @@
 
 // finishText scores a whole text, or finishes an item without a reward call.
 func (s *Scheduler) finishText(t *task) {
+	t.wholeAt = time.Now()
 	result := batch.Result{ID: t.item.ID, Completed: true, Text: string(t.text.data), Versions: t.text.versions}
 	if t.item.Reward == nil {
 		s.finish(t, result)
@@ -39,12 +40,16 @@
 }
 
 func (s *Scheduler) finish(t *task, r batch.Result) {
+	s.Log.Info("item: finished", zap.String("id", t.item.ID), zap.String("job", t.job.spec.ID), zap.String("group", t.item.Group), zap.Bool("completed", r.Completed),
+		zap.Int("events", t.text.events), zap.Int64s("versions", r.Versions), zap.Duration("scoring", time.Since(t.wholeAt)))
 	t.state = taskDone
 	t.cancel = nil
 	if len(t.job.finished) == 0 {
 		t.job.firstAt = time.Now()
 	}
 	t.job.finished = append(t.job.finished, r)
+	t.job.finishedBytes += len(r.Text)
+	t.job.decisive = t.job.groups.finish(t.item.Group) || t.job.decisive
 	t.text = nil
 }
 
@@ -54,16 +59,18 @@
 		if j.committing || len(j.finished) == 0 {
 			continue
 		}
-		if now.Sub(j.firstAt) < commitEvery && len(j.finished) < j.left {
+		if now.Sub(j.firstAt) < commitWait(now, j.due, j.finishedBytes, j.decisive) && len(j.finished) < j.left {
 			continue
 		}
 		size, n := 0, 0
 		for n < len(j.finished) && (n == 0 || size < s.Ledger.Limit()) {
 			size += len(j.finished[n].Text) + 200
+			j.finishedBytes -= len(j.finished[n].Text)
 			n++
 		}
 		batch := j.finished[:n:n]
 		j.finished = j.finished[n:]
+		j.decisive = j.decisive && len(j.finished) > 0
 		j.firstAt = now
 		j.committing = true
 		go s.write(j, j.committed, batch)
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -90,7 +90,7 @@
 		return
 	}
 	submitted := time.UnixMilli(spec.SubmittedAt)
-	j := &job{spec: spec, due: submitted.Add(defaultDue), until: submitted.Add(s.JobStatus), committed: len(results), tries: 1}
+	j := &job{spec: spec, due: submitted.Add(defaultDue), until: submitted.Add(s.JobStatus), committed: len(results), tries: 1, groups: newGroups(spec)}
 	if route, ok := s.View.Table().Match(spec.Host, spec.Items[0].Path); ok {
 		if route.Due > 0 {
 			j.due = submitted.Add(route.Due)
@@ -107,9 +107,16 @@
 		done[r.ID] = true
 	}
 	for i := range spec.Items {
-		if !done[spec.Items[i].ID] {
-			j.tasks = append(j.tasks, s.newTask(j, &spec.Items[i]))
+		item := &spec.Items[i]
+		if done[item.ID] {
+			j.groups.finish(item.Group)
+			continue
+		}
+		t := s.newTask(j, item)
+		if t.carried {
+			j.groups.carry(item.Group)
 		}
+		j.tasks = append(j.tasks, t)
 	}
 	for _, t := range j.tasks {
 		if p, ok := partials[t.item.ID]; ok && p.Events > t.text.events {
@@ -119,7 +126,7 @@
 	}
 	j.left = len(j.tasks)
 	s.jobs[spec.ID] = j
-	s.Log.Info("job: begun", zap.String("id", spec.ID), zap.Int("items", len(spec.Items)), zap.Int("left", j.left),
+	s.Log.Info("job: begun", zap.String("id", spec.ID), zap.Int("items", len(spec.Items)), zap.Int("left", j.left), zap.Int("wanted-groups", spec.Wanted),
 		zap.Duration("age", time.Since(submitted)))
 	for _, t := range j.tasks {
 		if t.whole {
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -44,6 +44,10 @@
 	for service, list := range running {
 		s.demand.note(service, len(list)+len(byService[service]), now)
 	}
+	for service, list := range running {
+		s.observe(list, now)
+		s.move(list, service, len(byService[service]) > 0, now)
+	}
 	for service, texts := range byService {
 		if len(running[service]) == 0 {
 			s.demand.note(service, len(texts), now)
@@ -51,12 +55,6 @@
 		rank(texts)
 		s.startAll(tasks, texts, service, now)
 	}
-	for service, list := range running {
-		s.observe(list, now)
-		if len(byService[service]) == 0 {
-			s.move(list, service, now)
-		}
-	}
 }
 
 // observe takes in how fast the running texts are made.
@@ -64,27 +62,30 @@
 	for _, t := range running {
 		if speed := t.run.speed(now); speed > 0 && now.Sub(t.observedAt) >= observeEvery {
 			t.observedAt = now
-			s.engine(t.run.server.ID).measure(now, speed)
+			s.speeds.measure(t.run.server.ID, now, speed)
 		}
 	}
 }
 
 // move ends runs at slow engines where a faster one has room; their texts go
-// on there.
-func (s *Scheduler) move(running []*task, service string, now time.Time) {
+// on there. While texts wait, only long ones move.
+func (s *Scheduler) move(running []*task, service string, texts bool, now time.Time) {
 	servers := s.Pool.Servers(service)
 	byModel := map[string][]place{}
-	slices.SortStableFunc(running, func(a, b *task) int { return cmp.Compare(a.job.priority, b.job.priority) })
+	slices.SortStableFunc(running, func(a, b *task) int {
+		return cmp.Or(cmp.Compare(a.job.priority, b.job.priority), cmp.Compare(b.hint, a.hint))
+	})
 	for _, t := range running {
 		speed := t.run.speed(now)
-		if speed == 0 || t.moving {
+		events := t.run.before + int(t.run.made.Load())
+		if speed == 0 || t.movingTo != "" || texts && events < longText {
 			continue
 		}
 		model := t.job.spec.Model
 		if _, ok := byModel[model]; !ok {
 			byModel[model] = s.places(servers, model, now)
 		}
-		i, ok := better(speed, t.run.before+int(t.run.made.Load()), t.run.server.ID, t.job.spec.MinVersion, byModel[model])
+		i, ok := better(speed, events, t.run.server.ID, t.job.spec.MinVersion, byModel[model])
 		if !ok {
 			continue
 		}
@@ -94,7 +95,7 @@
 		for _, list := range byModel {
 			occupy(list, to.id)
 		}
-		t.moving = true
+		t.movingTo = to.id
 		t.cancel()
 	}
 }
@@ -130,26 +131,32 @@
 // places returns the engines with room for a model's texts.
 func (s *Scheduler) places(servers []pool.Snapshot, model string, now time.Time) []place {
 	var out []place
+	reserved := s.reserved()
 	for _, snapshot := range servers {
-		e := s.engine(snapshot.Server.ID)
-		if snapshot.Server.Draining || snapshot.Ejected || now.Before(e.coldUntil) {
+		e := s.speeds.of(snapshot.Server.ID)
+		if snapshot.Server.Draining || snapshot.Ejected || now.Before(e.coldUntil) || now.Before(e.loads[model]) {
 			continue
 		}
+		used := snapshot.Running + reserved[snapshot.Server.ID]
 		out = append(out, place{
-			id: snapshot.Server.ID, free: max(1, snapshot.Server.Slots) - snapshot.Running, running: snapshot.Running,
-			version: snapshot.Server.Models[model], speed: e.expected(now),
+			id: snapshot.Server.ID, free: max(1, snapshot.Server.Slots) - used, running: used,
+			version: snapshot.Server.Models[model], speed: s.speeds.expected(snapshot.Server.ID, now),
 		})
 	}
 	return out
 }
 
-func (s *Scheduler) engine(id string) *engine {
-	e, ok := s.engines[id]
-	if !ok {
-		e = &engine{speed: firstSpeed}
-		s.engines[id] = e
+// reserved returns how many texts are on their way to each engine.
+func (s *Scheduler) reserved() map[string]int {
+	out := map[string]int{}
+	for _, j := range s.jobs {
+		for _, t := range j.tasks {
+			if t.movingTo != "" {
+				out[t.movingTo]++
+			}
+		}
 	}
-	return e
+	return out
 }
 
 // begin runs a task at a server.
@@ -181,12 +188,13 @@
 
 // ran takes in the end of a run.
 func (s *Scheduler) ran(t *task, r *run, handle *pool.Handle, o outcome) {
-	e := s.engine(handle.Server().ID)
+	e := s.speeds.of(handle.Server().ID)
 	now := time.Now()
 	s.Figures.Count("runs_total", "outcome", o.String())
 	t.state = taskWaiting
 	t.run = nil
-	t.moving = false
+	to := t.movingTo
+	t.movingTo = ""
 	if o != outcomeWhole && o != outcomeStopped {
 		s.Log.Info("item: run ended", zap.String("id", t.item.ID), zap.String("job", t.job.spec.ID), zap.String("server", handle.Server().ID),
 			zap.Stringer("outcome", o), zap.String("reason", r.reason), zap.Int("events", t.text.events))
@@ -219,6 +227,8 @@
 	switch {
 	case t.whole:
 		s.finishText(t)
+	case o == outcomeStopped && to != "":
+		s.begin(t, to)
 	case o == outcomeInvalid || t.failures >= t.job.tries:
 		s.Log.Info("item: given up", zap.String("id", t.item.ID), zap.String("job", t.job.spec.ID), zap.Stringer("outcome", o), zap.Int("failures", t.failures))
 		s.finish(t, batch.Result{ID: t.item.ID})
--- a/internal/scheduler/policy.go
+++ b/internal/scheduler/policy.go
@@ -9,7 +9,7 @@
 const (
 	// crowding is what each running text adds to the time of a token at a
 	// server, as a share: engines slow down a little as their batch grows.
-	crowding = 0.03
+	crowding = 0.007
 	// staleness is what an older version of the weights adds to the score of a
 	// server, as a share: the trainer prefers texts of the newest version.
 	staleness = 0.05
@@ -26,12 +26,6 @@
 	worthMovingShort = 2.2
 	// stalledPauses is how many usual pauses without an event make a run slow.
 	stalledPauses = 3
-	// speedMemory is the time after which a measured speed has lost most of its
-	// weight, so that an engine that was slow gets work again.
-	speedMemory = 6 * time.Second
-	// firstSpeed is assumed of a server that has made no event yet, in
-	// milliseconds an event.
-	firstSpeed = 36
 )
 
 // waiting is a text that waits for a place, as the policy sees it.
--- a/internal/scheduler/policy_test.go
+++ b/internal/scheduler/policy_test.go
@@ -109,15 +109,29 @@
 	}
 }
 
-// TestEngineMemory asserts that an engine that was slow gets work again.
+// TestEngineMemory asserts that an engine that was slow for a while gets work
+// again, and that one that is slow for good is known to be.
 func TestEngineMemory(t *testing.T) {
-	e := &engine{speed: firstSpeed}
+	s := newSpeeds()
+	require.InDelta(t, firstSpeed, s.expected("a", start), 0.01)
+	at := func(i int) time.Time { return start.Add(time.Duration(i) * observeEvery) }
 	for i := range 20 {
-		e.measure(start.Add(time.Duration(i)*observeEvery), 150)
+		s.measure("fast", at(i), 40)
+		s.measure("slow for good", at(i), 52)
+		s.measure("slow now", at(i), 40)
 	}
-	slow := start.Add(20 * observeEvery)
-	require.Greater(t, e.expected(slow), 100.0)
-	require.Less(t, e.expected(slow.Add(4*speedMemory)), 1.1*firstSpeed)
+	for i := 20; i < 40; i++ {
+		s.measure("slow now", at(i), 150)
+	}
+	later := at(40).Add(5 * speedMemory)
+	require.Greater(t, s.expected("slow now", at(40)), 100.0)
+	require.InDelta(t, 40, s.expected("slow now", later), 2)
+	require.InDelta(t, 52, s.expected("slow for good", later), 1)
+	require.InDelta(t, 40, s.expected("unknown", later), 1, "an engine without measurements is one of the best")
+	for i := range 20 {
+		s.measure("slow from the start", at(i), 150)
+	}
+	require.Less(t, s.expected("slow from the start", later), slowestBase*40*1.1)
 }
 
 // TestSpread asserts how many engines each failure domain is to have.
--- a/internal/scheduler/scale.go
+++ b/internal/scheduler/scale.go
@@ -62,6 +62,17 @@
 	return d.peaks[service].texts
 }
 
+// all returns the highest number of texts of late, by name.
+func (d *demand) all() map[string]int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := make(map[string]int, len(d.peaks))
+	for name, p := range d.peaks {
+		out[name] = p.texts
+	}
+	return out
+}
+
 // spread returns how many servers each failure domain is to have for a total.
 // No domain loses what it has; what is missing goes where the fewest are, the
 // cheapest domain first, so that the loss of one costs least.
@@ -69,7 +80,7 @@
 	out := map[string]int{}
 	sum := 0
 	for _, d := range domains {
-		out[d] = max(have[d], scaling.Min)
+		out[d] = have[d]
 		sum += out[d]
 	}
 	order := slices.Clone(domains)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"math"
 	"time"
 
 	"cactusspoke/internal/batch"
@@ -22,9 +21,6 @@
 const (
 	// tick is how often the scheduler looks again without an event.
 	tick = 50 * time.Millisecond
-	// commitEvery is how long finished items are gathered before they are
-	// written: each write is paid for, and trainers read twice a second.
-	commitEvery = 150 * time.Millisecond
 	// commitPause is the pause before a failed write is tried again.
 	commitPause = 100 * time.Millisecond
 	// mailboxSize bounds the events that wait for the loop.
@@ -90,8 +86,10 @@
 	failures int
 	carried  bool
 	whole    bool
-	// moving tasks were stopped to go on at a faster engine.
-	moving     bool
+	// wholeAt is when the text became complete here.
+	wholeAt time.Time
+	// movingTo is the faster engine at which a stopped run is to go on.
+	movingTo   string
 	observedAt time.Time
 	// saved is how many events of the text were kept in the store.
 	saved  int
@@ -111,32 +109,16 @@
 	// priority is the route's or the customer's; 0 is the highest.
 	priority int
 
+	groups *groups
+	// decisive says that a finished item lets the trainer go on.
+	decisive bool
 	// committed is the position of the next result.
-	committed  int
-	finished   []batch.Result
-	firstAt    time.Time
-	committing bool
-	ended      bool
-}
-
-// engine is what runs have shown of a model engine.
-type engine struct {
-	speed      float64
-	measuredAt time.Time
-	coldUntil  time.Time
-}
-
-// measure notes the milliseconds an event that a run takes.
-func (e *engine) measure(now time.Time, speed float64) {
-	e.speed = e.expected(now)
-	e.speed += speedShare * (speed - e.speed)
-	e.measuredAt = now
-}
-
-// expected returns the milliseconds an event that a new run will take.
-func (e *engine) expected(now time.Time) float64 {
-	weight := math.Exp(-float64(now.Sub(e.measuredAt)) / float64(speedMemory))
-	return firstSpeed + (e.speed-firstSpeed)*weight
+	committed     int
+	finished      []batch.Result
+	finishedBytes int
+	firstAt       time.Time
+	committing    bool
+	ended         bool
 }
 
 type stashed struct {
@@ -156,11 +138,12 @@
 	loading map[string]bool
 	ended   map[string]bool
 	records map[string]batch.Record
-	engines map[string]*engine
+	speeds  *speeds
 	stash   map[string]stashed
 	saving  bool
 	savedAt time.Time
 	demand  *demand
+	models  *demand
 	sweptAt time.Time
 }
 
@@ -168,8 +151,8 @@
 func New(ctx context.Context, parts Parts) *Scheduler {
 	return &Scheduler{
 		Parts: parts, ctx: ctx, mailbox: make(chan func(), mailboxSize), jobs: map[string]*job{}, loading: map[string]bool{},
-		ended: map[string]bool{}, records: map[string]batch.Record{}, engines: map[string]*engine{}, stash: map[string]stashed{},
-		demand: &demand{peaks: map[string]peak{}},
+		ended: map[string]bool{}, records: map[string]batch.Record{}, speeds: newSpeeds(), stash: map[string]stashed{},
+		demand: &demand{peaks: map[string]peak{}}, models: &demand{peaks: map[string]peak{}},
 	}
 }
 
@@ -204,9 +187,67 @@
 	}
 }
 
-// Avoid keeps an engine from getting texts until a time.
-func (s *Scheduler) Avoid(server string, until time.Time) {
-	s.post(func() { s.engine(server).coldUntil = until })
+// Avoid keeps an engine from getting texts of a model until a time.
+func (s *Scheduler) Avoid(server, model string, until time.Time) {
+	s.post(func() { s.speeds.of(server).loads[model] = until })
+}
+
+// survey is what the texts show of engines and models.
+type survey struct {
+	speeds map[string]float64
+	needs  map[string]need
+}
+
+// speed returns an engine's milliseconds an event.
+func (s survey) speed(engine string) float64 {
+	if speed, ok := s.speeds[engine]; ok {
+		return speed
+	}
+	return firstSpeed
+}
+
+// Survey returns what the loop knows now; false if the context ended before.
+func (s *Scheduler) Survey(ctx context.Context) (survey, bool) {
+	out := make(chan survey, 1)
+	s.post(func() { out <- s.lookAround(time.Now()) })
+	select {
+	case seen := <-out:
+		return seen, true
+	case <-ctx.Done():
+		return survey{}, false
+	}
+}
+
+func (s *Scheduler) lookAround(now time.Time) survey {
+	seen := survey{speeds: map[string]float64{}, needs: map[string]need{}}
+	for id := range s.speeds.engines {
+		seen.speeds[id] = s.speeds.expected(id, now)
+	}
+	texts := map[string]int{}
+	for _, j := range s.jobs {
+		n := seen.needs[j.spec.Model]
+		for _, t := range j.tasks {
+			switch t.state {
+			case taskWaiting:
+				n.oldest = max(n.oldest, j.spec.MinVersion)
+				n.starved = true
+				texts[j.spec.Model]++
+			case taskRunning:
+				texts[j.spec.Model]++
+			case taskScoring, taskDone:
+			}
+		}
+		seen.needs[j.spec.Model] = n
+	}
+	for model, n := range texts {
+		s.models.note(model, n, now)
+	}
+	for model, n := range s.models.all() {
+		need := seen.needs[model]
+		need.texts = n
+		seen.needs[model] = need
+	}
+	return seen
 }
 
 // Kick makes the loop look again.
--- a/internal/scheduler/weights.go
+++ b/internal/scheduler/weights.go
@@ -1,11 +1,9 @@
 package scheduler
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
@@ -16,21 +14,21 @@
 
 const (
 	// moveTick is how often it is looked at which engines are behind.
-	moveTick = 100 * time.Millisecond
+	moveTick = 50 * time.Millisecond
 	// orderTimeout bounds one order.
 	orderTimeout = 800 * time.Millisecond
-	// loadTime is how long an engine takes no new texts while it loads.
+	// loadTime is how long a load takes that no other one slows down.
 	loadTime = 900 * time.Millisecond
-	// askAgain is the pause before an engine that refused is asked again.
+	// reportLag is how old the values of an engine's report are.
+	reportLag = 100 * time.Millisecond
+	// followEvery is how often an engine that loads is asked whether it has.
+	followEvery = 30 * time.Millisecond
+	// askAgain is the pause before an engine that refused or did not answer is
+	// asked again.
 	askAgain = 300 * time.Millisecond
-	// settleTime is how long an engine may take to carry an order out before it
-	// is asked again: a load takes about a second, its report lags behind.
-	settleTime = 2500 * time.Millisecond
-	// loadersShare is the share of a service's engines that load at once; more
-	// of them slow each other down.
-	loadersShare = 0.2
-	// loadersMin is the least number that load at once.
-	loadersMin = 2
+	// loadMost is how long an engine may take to carry an order out before it
+	// is asked again.
+	loadMost = 2500 * time.Millisecond
 )
 
 // Report is what an engine says of itself.
@@ -56,19 +54,31 @@
 	Parts
 	orders Orders
 	fence  int64
-	avoid  func(server string, until time.Time)
-	mu     sync.Mutex
-	asked  map[string]asked
+	survey func(ctx context.Context) (survey, bool)
+	avoid  func(server, model string, until time.Time)
+
+	// mu guards what follows; orders report from goroutines of their own.
+	mu    sync.Mutex
+	home  map[string]map[string]string
+	rates map[string]*loadRate
+	// paused engines are not asked before a time, loading ones were asked.
+	paused  map[string]time.Time
+	loading map[string]loading
 }
 
-type asked struct {
-	version int64
+// loading is an order that an engine carries out, and when it will have done
+// so as far as the rate tells.
+type loading struct {
+	service string
 	until   time.Time
 }
 
-// NewMover returns the mover of a term. avoid is told which engines load.
-func NewMover(parts Parts, orders Orders, fence int64, avoid func(server string, until time.Time)) *Mover {
-	return &Mover{Parts: parts, orders: orders, fence: fence, avoid: avoid, asked: map[string]asked{}}
+// NewMover returns the mover of a term.
+func NewMover(s *Scheduler, orders Orders, fence int64) *Mover {
+	return &Mover{
+		Parts: s.Parts, orders: orders, fence: fence, survey: s.Survey, avoid: s.Avoid, home: map[string]map[string]string{},
+		rates: map[string]*loadRate{}, paused: map[string]time.Time{}, loading: map[string]loading{},
+	}
 }
 
 // Run moves engines until the context ends.
@@ -80,107 +90,95 @@
 			continue
 		}
 		versions := m.View.Versions()
-		for name := range table.Services() {
-			m.move(ctx, name, versions)
-		}
-	}
-	return ctx.Err()
-}
-
-// behind is an engine that is to load a version.
-type behind struct {
-	snapshot pool.Snapshot
-	model    string
-	version  int64
-	lag      int64
-}
-
-func (m *Mover) move(ctx context.Context, service string, versions map[string]int64) {
-	servers := m.Pool.Servers(service)
-	list, loading := m.behind(servers, versions, time.Now())
-	slices.SortFunc(list, func(a, b behind) int {
-		if a.lag != b.lag {
-			return cmp.Compare(b.lag, a.lag)
-		}
-		return cmp.Compare(a.snapshot.Running, b.snapshot.Running)
-	})
-	most := max(loadersMin, int(loadersShare*float64(len(servers))))
-	asked := map[string]bool{}
-	for _, b := range list {
-		if loading >= most || ctx.Err() != nil {
-			return
+		if len(versions) == 0 {
+			continue
 		}
-		if asked[b.snapshot.Server.ID] {
+		seen, ok := m.survey(ctx)
+		if !ok {
 			continue
 		}
-		asked[b.snapshot.Server.ID] = true
-		loading++
-		m.note(b, time.Now())
-		go m.order(ctx, b)
+		for name := range table.Services() {
+			m.move(ctx, name, versions, seen)
+		}
 	}
+	return ctx.Err()
 }
 
-// behind returns the engines that are to load a version, and how many load now.
-func (m *Mover) behind(servers []pool.Snapshot, versions map[string]int64, now time.Time) (list []behind, loading int) {
+// move begins the loads of a service's engines that are due now.
+func (m *Mover) move(ctx context.Context, service string, versions map[string]int64, seen survey) {
+	servers := map[string]pool.Server{}
+	needs := map[string]need{}
+	var engines []loader
+	now := time.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for _, s := range servers {
-		if s.Server.Draining {
+	for _, s := range m.Pool.Servers(service) {
+		if s.Server.Draining || len(s.Server.Models) == 0 {
 			continue
 		}
-		busy := false
-		var mine []behind
-		for model, version := range s.Server.Models {
-			wanted := versions[model]
-			if wanted <= version {
-				continue
-			}
-			if a, ok := m.asked[s.Server.ID+"/"+model]; ok && a.version > version && now.Before(a.until) {
-				busy = true
-				continue
-			}
-			mine = append(mine, behind{s, model, wanted, wanted - version})
-		}
-		if busy {
-			loading++
-			continue
+		id := s.Server.ID
+		servers[id] = s.Server
+		_, busy := m.loading[id]
+		engines = append(engines, loader{id, s.Running, seen.speed(id), s.Server.Models, busy || now.Before(m.paused[id])})
+		for model := range s.Server.Models {
+			n := seen.needs[model]
+			n.named = versions[model]
+			needs[model] = n
 		}
-		list = append(list, mine...)
 	}
-	return list, loading
+	if len(engines) == 0 {
+		return
+	}
+	rate, ok := m.rates[service]
+	if !ok {
+		rate = newLoadRate()
+		m.rates[service] = rate
+	}
+	m.home[service] = homes(engines, needs, m.home[service])
+	for _, l := range planLoads(engines, needs, m.home[service], int(rate.limit)-m.atOnce(service, now)) {
+		m.loading[l.engine] = loading{service, now.Add(loadMost)}
+		go m.order(ctx, servers[l.engine], l.model, needs[l.model].named, rate)
+	}
 }
 
-// note remembers that an engine was asked, until when its answer is awaited.
-func (m *Mover) note(b behind, now time.Time) { m.wait(b, now.Add(settleTime)) }
-
-func (m *Mover) wait(b behind, until time.Time) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.asked[b.snapshot.Server.ID+"/"+b.model] = asked{b.version, until}
+// atOnce returns how many engines of a service load now. The caller holds mu.
+func (m *Mover) atOnce(service string, now time.Time) int {
+	n := 0
+	for _, l := range m.loading {
+		if l.service == service && now.Before(l.until) {
+			n++
+		}
+	}
+	return n
 }
 
 // order asks one engine to load a version and follows it until it has.
-func (m *Mover) order(ctx context.Context, b behind) {
-	server := b.snapshot.Server
+func (m *Mover) order(ctx context.Context, server pool.Server, model string, version int64, rate *loadRate) {
+	defer func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		delete(m.loading, server.ID)
+	}()
 	report, err := m.report(ctx, server.Address)
 	if err != nil {
 		m.Log.Warn("weights: engine does not report", zap.String("server", server.ID), zap.String("reason", err.Error()))
-		m.wait(b, time.Now().Add(askAgain))
+		m.pause(server.ID)
 		return
 	}
-	if report.Models[b.model] >= b.version {
-		m.Pool.Learn(server.ID, b.model, report.Models[b.model])
+	if report.Models[model] >= version {
+		m.Pool.Learn(server.ID, model, report.Models[model])
 		return
 	}
 	if report.Busy || !m.Valid() {
-		m.wait(b, time.Now().Add(askAgain))
+		m.pause(server.ID)
 		return
 	}
-	m.avoid(server.ID, time.Now().Add(loadTime))
-	status, err := m.send(ctx, b, report.Orders)
+	m.avoid(server.ID, model, time.Now().Add(loadMost))
+	defer func() { m.avoid(server.ID, model, time.Now()) }()
+	status, err := m.send(ctx, server, model, version, report.Orders)
 	fields := []zap.Field{
-		zap.String("server", server.ID), zap.String("model", b.model), zap.Int64("version", b.version),
-		zap.Int64("had", report.Models[b.model]), zap.Int64("after-orders", report.Orders), zap.Int("status", status),
+		zap.String("server", server.ID), zap.String("model", model), zap.Int64("version", version),
+		zap.Int64("had", report.Models[model]), zap.Int64("after-orders", report.Orders), zap.Int("status", status),
 	}
 	if err != nil {
 		// The order may still be carried out, so it is awaited like the others.
@@ -189,10 +187,17 @@
 		m.Log.Info("weights: ordered", fields...)
 	}
 	if err == nil && status != http.StatusOK && status != http.StatusAccepted {
-		m.wait(b, time.Now().Add(askAgain))
+		m.pause(server.ID)
 		return
 	}
-	m.follow(ctx, b)
+	m.follow(ctx, server, model, version, rate, err == nil)
+}
+
+// pause keeps an engine from being asked for a while.
+func (m *Mover) pause(server string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.paused[server] = time.Now().Add(askAgain)
 }
 
 func (m *Mover) report(ctx context.Context, address string) (Report, error) {
@@ -202,31 +207,50 @@
 }
 
 // send sends the order, unless the right to do so has ended meanwhile.
-func (m *Mover) send(ctx context.Context, b behind, accepted int64) (int, error) {
+func (m *Mover) send(ctx context.Context, server pool.Server, model string, version, accepted int64) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	if !m.Valid() {
 		return 0, errors.New("no longer the holder of the duty")
 	}
-	server := b.snapshot.Server
-	return m.orders.SetVersion(ctx, server.ID, server.Address, b.model, b.version, accepted, m.retain(), m.fence)
+	return m.orders.SetVersion(ctx, server.ID, server.Address, model, version, accepted, m.retain(), m.fence)
 }
 
 // follow asks an engine until it has loaded, since the list of servers tells
-// a second or two later.
-func (m *Mover) follow(ctx context.Context, b behind) {
+// a second or two later. An order without an answer may begin at any time.
+func (m *Mover) follow(ctx context.Context, server pool.Server, model string, version int64, rate *loadRate, answered bool) {
+	began := time.Now()
+	m.mu.Lock()
+	service := m.loading[server.ID].service
+	atOnce := m.atOnce(service, began)
+	m.loading[server.ID] = loading{service, began.Add(rate.lasts())}
+	m.mu.Unlock()
+	if !answered {
+		atOnce = 0
+	}
 	sleep(ctx, loadTime)
-	for until := time.Now().Add(settleTime - loadTime); time.Now().Before(until) && ctx.Err() == nil; sleep(ctx, loadTime/4) {
-		report, err := m.report(ctx, b.snapshot.Server.Address)
-		if err == nil && report.Models[b.model] >= b.version {
-			m.Pool.Learn(b.snapshot.Server.ID, b.model, report.Models[b.model])
-			m.avoid(b.snapshot.Server.ID, time.Now())
+	for ; time.Since(began) < loadMost && ctx.Err() == nil; sleep(ctx, followEvery) {
+		report, err := m.report(ctx, server.Address)
+		if err == nil && report.Models[model] >= version {
+			m.loaded(server, model, report.Models[model], began, rate, atOnce)
 			return
 		}
-		if err == nil && report.Busy {
-			m.avoid(b.snapshot.Server.ID, time.Now().Add(loadTime/2))
-		}
 	}
+	m.Log.Warn("weights: order not carried out yet", zap.String("server", server.ID), zap.String("model", model), zap.Int64("version", version))
+}
+
+// loaded notes that an engine has what it was ordered to load. atOnce is 0
+// where the load tells nothing of the weight store.
+func (m *Mover) loaded(server pool.Server, model string, version int64, began time.Time, rate *loadRate, atOnce int) {
+	m.Pool.Learn(server.ID, model, version)
+	m.mu.Lock()
+	if atOnce > 0 {
+		rate.ended(began, time.Now(), atOnce)
+	}
+	limit := rate.limit
+	m.mu.Unlock()
+	m.Log.Info("weights: loaded", zap.String("server", server.ID), zap.String("model", model), zap.Int64("version", version),
+		zap.Duration("took", time.Since(began)), zap.Int("at-once", atOnce), zap.Float64("limit", limit))
 }
 
 // retain tells whether running texts may go on under the new version.
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -23,12 +23,14 @@
 	lastOf = "/last"
 
 	// ttl is the lease of a duty. A shorter one is lost in a slow spell of the
-	// store, a longer one delays the next holder.
-	ttl = 1600 * time.Millisecond
+	// store, whose answers then take up to 400 ms; a longer one delays the next
+	// holder.
+	ttl = 1200 * time.Millisecond
 	// margin is taken off the holder's time.
 	margin = 150 * time.Millisecond
-	// renewEvery leaves three tries before the lease runs out.
-	renewEvery = 400 * time.Millisecond
+	// renewEvery leaves four tries before the lease runs out. A try does not
+	// wait for the answer to the last one, which may be lost.
+	renewEvery = 250 * time.Millisecond
 	// lookEvery is how often a candidate looks whether the duty is free.
 	lookEvery = 60 * time.Millisecond
 	// gapMargin is added to the time before a former holder may take the duty
@@ -50,6 +52,7 @@
 	holder   kv.Item
 	last     kv.Item
 	fence    kv.Revision
+	lease    kv.LeaseID
 	deadline time.Duration
 	heldTill time.Duration
 }
@@ -182,6 +185,7 @@
 	}
 	t.mu.Lock()
 	t.fence = revision
+	t.lease = lease
 	t.deadline = sentAt + ttl - margin
 	t.heldTill = t.deadline
 	t.mu.Unlock()
@@ -198,25 +202,7 @@
 		defer close(ended)
 		reign(inner, lease)
 	}()
-	reason := "stopped"
-	for ctx.Err() == nil {
-		kv.Sleep(ctx, renewEvery)
-		sentAt := t.clock()
-		err := t.store.Keep(inner, lease)
-		if errors.Is(err, kv.ErrNotFound) {
-			reason = "the lease has ended"
-			break
-		}
-		if err != nil {
-			t.log.Warn("duty: not renewed", zap.String("reason", err.Error()))
-		} else {
-			t.extend(sentAt)
-		}
-		if t.deposed() {
-			reason = "another node holds it"
-			break
-		}
-	}
+	reason := t.renewals(ctx, inner, lease)
 	cancel()
 	<-ended
 	t.mu.Lock()
@@ -228,11 +214,53 @@
 	}
 }
 
-func (t *Tenure) extend(sentAt time.Duration) {
+// renewals renews the lease until the duty is lost or the context ends, and
+// returns the reason.
+func (t *Tenure) renewals(ctx, inner context.Context, lease kv.LeaseID) string {
+	lapsed := make(chan struct{}, 1)
+	for {
+		kv.Sleep(ctx, renewEvery)
+		select {
+		case <-lapsed:
+			return "the lease has ended"
+		default:
+		}
+		switch {
+		case ctx.Err() != nil:
+			return "stopped"
+		case t.deposed():
+			return "another node holds it"
+		}
+		go t.renew(inner, lease, lapsed)
+	}
+}
+
+// renew renews the lease once.
+func (t *Tenure) renew(ctx context.Context, lease kv.LeaseID, lapsed chan<- struct{}) {
+	sentAt := t.clock()
+	err := t.store.Keep(ctx, lease)
+	switch {
+	case err == nil:
+		t.extend(lease, sentAt)
+	case errors.Is(err, kv.ErrNotFound):
+		select {
+		case lapsed <- struct{}{}:
+		default:
+		}
+	case ctx.Err() == nil:
+		t.log.Warn("duty: not renewed", zap.String("reason", err.Error()))
+	}
+}
+
+// extend moves the end of the holder's time, unless the answer belongs to an
+// earlier hold or came after that to a later renewal.
+func (t *Tenure) extend(lease kv.LeaseID, sentAt time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.deadline = sentAt + ttl - margin
-	t.heldTill = t.deadline
+	if end := sentAt + ttl - margin; t.fence != 0 && t.lease == lease && end > t.deadline {
+		t.deadline = end
+		t.heldTill = end
+	}
 }
 
 // deposed tells whether the view shows a later holder.
--- a/internal/tenure/tenure_test.go
+++ b/internal/tenure/tenure_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"os"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -113,11 +114,53 @@
 	n := New(kvtest.New(1, kvtest.Faults{}).Client(), "orders", "a", holderGap, zap.NewNop())
 	n.clock = func() time.Duration { return now }
 	n.Reset(nil)
-	_, ok := n.acquire(t.Context())
+	lease, ok := n.acquire(t.Context())
 	require.True(t, ok)
 	require.True(t, n.Valid())
 	sentAt := now
 	now += ttl + time.Second // the machine stands still after the renewal left
-	n.extend(sentAt)
+	n.extend(lease, sentAt)
 	require.False(t, n.Valid())
 }
+
+// deafKeeps is a store that loses the answers to every second renewal.
+type deafKeeps struct {
+	kv.Store
+	keeps atomic.Int64
+}
+
+func (s *deafKeeps) Keep(ctx context.Context, lease kv.LeaseID) error {
+	err := s.Store.Keep(ctx, lease)
+	if s.keeps.Add(1)%2 == 1 {
+		<-ctx.Done()
+		return kv.ErrUnknown
+	}
+	return err
+}
+
+// TestLostAnswersToRenewals asserts that a holder keeps the duty while some
+// answers of the store are lost.
+func TestLostAnswersToRenewals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		start := time.Now()
+		store := &deafKeeps{Store: kvtest.New(1, kvtest.Faults{}).Client()}
+		n := New(store, "orders", "a", holderGap, zap.NewNop())
+		n.clock = func() time.Duration { return time.Since(start) }
+		n.Reset(nil)
+		terms := 0
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			_ = n.Run(ctx, func(ctx context.Context, _ kv.LeaseID) { terms++; <-ctx.Done() })
+		}()
+		time.Sleep(renewEvery / 2)
+		for range 100 {
+			require.True(t, n.Valid())
+			time.Sleep(renewEvery / 2)
+		}
+		cancel()
+		<-ended
+		require.Equal(t, 1, terms)
+	})
+}
