--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -36,8 +36,9 @@
 // speeds is what runs have shown of all engines.
 type speeds struct {
 	engines map[string]*engine
-	// best is the lowest base, 0 before the first measurement.
-	best float64
+	// best is the lowest base and mean that of all engines with one, both 0
+	// before the first measurement.
+	best, mean float64
 }
 
 func newSpeeds() *speeds { return &speeds{engines: map[string]*engine{}} }
@@ -65,25 +66,38 @@
 	case e.speed < e.base:
 		e.base += baseShare * (e.speed - e.base)
 	}
-	if s.best == 0 || e.base < s.best {
-		s.best = e.base
-	}
 	e.measuredAt = now
+	s.summarize()
+}
+
+func (s *speeds) summarize() {
+	n := 0
+	s.best, s.mean = 0, 0
+	for _, e := range s.engines {
+		if e.base == 0 {
+			continue
+		}
+		n++
+		s.mean += e.base
+		if s.best == 0 || e.base < s.best {
+			s.best = e.base
+		}
+	}
+	s.mean /= float64(max(1, n))
 }
 
 // expected returns the milliseconds an event that a new run at an engine will
-// take. An engine without measurements is taken for one of the best; one that
-// was slow for a while is trusted again bit by bit.
+// take. An engine without measurements is taken for an average one; one that was
+// slow for a while is trusted again bit by bit.
 func (s *speeds) expected(id string, now time.Time) float64 {
-	best := s.best
-	if best == 0 {
-		best = firstSpeed
+	if s.best == 0 {
+		return firstSpeed
 	}
 	e := s.of(id)
 	if e.base == 0 {
-		return best
+		return s.mean
 	}
-	base := min(e.base, slowestBase*best)
+	base := min(e.base, slowestBase*s.best)
 	weight := math.Exp(-float64(now.Sub(e.measuredAt)) / float64(speedMemory))
 	return base + (e.speed-base)*weight
 }
