The scheduler looks less often, tells its own lag from slow engines, and sends unanswered orders again

Change: lag() takes the observer's part out of measurements; looks at least 8 ms apart; an order without an answer in 300 ms is sent again while the engine does not load, with the number of orders accepted so far as its condition. Tests: TestLag; TestPlanLoads and the others of loads still hold.

--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -19,7 +19,7 @@
 		return
 	}
 	byService := map[string][]waiting{}
-	var tasks []*task
+	tasks := make([]*task, 0, s.unfinished())
 	running := map[string][]*task{}
 	for _, j := range s.jobs {
 		for _, t := range j.tasks {
@@ -45,38 +45,55 @@
 		s.demand.note(service, len(list)+len(byService[service]), now)
 	}
 	for service, list := range running {
-		s.observe(list, now)
-		s.move(list, service, len(byService[service]) > 0, now)
+		late := s.observe(list, now)
+		s.move(list, service, len(byService[service]) > 0, late, now)
 	}
 	for service, texts := range byService {
 		if len(running[service]) == 0 {
 			s.demand.note(service, len(texts), now)
 		}
-		rank(texts)
 		s.startAll(tasks, texts, service, now)
 	}
 }
 
-// observe takes in how fast the running texts are made.
-func (s *Scheduler) observe(running []*task, now time.Time) {
+// unfinished returns how many items of all jobs are not finished.
+func (s *Scheduler) unfinished() int {
+	n := 0
+	for _, j := range s.jobs {
+		n += j.left
+	}
+	return n
+}
+
+// observe takes in how fast the running texts are made, and returns by what
+// factor they seem slower than they are.
+func (s *Scheduler) observe(running []*task, now time.Time) float64 {
+	var slower []float64
+	for _, t := range running {
+		if speed, base := t.run.speed(now), s.speeds.of(t.run.server.ID).base; speed > 0 && base > 0 {
+			slower = append(slower, speed/base)
+		}
+	}
+	late := lag(slower)
 	for _, t := range running {
 		if speed := t.run.speed(now); speed > 0 && now.Sub(t.observedAt) >= observeEvery {
 			t.observedAt = now
-			s.speeds.measure(t.run.server.ID, now, speed)
+			s.speeds.measure(t.run.server.ID, now, speed/late)
 		}
 	}
+	return late
 }
 
 // move ends runs at slow engines where a faster one has room; their texts go
 // on there. While texts wait, only long ones move.
-func (s *Scheduler) move(running []*task, service string, texts bool, now time.Time) {
+func (s *Scheduler) move(running []*task, service string, texts bool, late float64, now time.Time) {
 	servers := s.Pool.Servers(service)
 	byModel := map[string][]place{}
 	slices.SortStableFunc(running, func(a, b *task) int {
 		return cmp.Or(cmp.Compare(a.job.priority, b.job.priority), cmp.Compare(b.hint, a.hint))
 	})
 	for _, t := range running {
-		speed := t.run.speed(now)
+		speed := t.run.speed(now) / late
 		events := t.run.before + int(t.run.made.Load())
 		if speed == 0 || t.movingTo != "" || texts && events < longText {
 			continue
@@ -102,6 +119,10 @@
 
 func (s *Scheduler) startAll(tasks []*task, texts []waiting, service string, now time.Time) {
 	servers := s.Pool.Servers(service)
+	if !anyRoom(servers) {
+		return
+	}
+	rank(texts)
 	byModel := map[string][]place{}
 	for _, text := range texts {
 		model := tasks[text.index].job.spec.Model
@@ -119,6 +140,10 @@
 	}
 }
 
+func anyRoom(servers []pool.Snapshot) bool {
+	return slices.ContainsFunc(servers, func(s pool.Snapshot) bool { return s.Running < max(1, s.Server.Slots) })
+}
+
 func occupy(places []place, server string) {
 	for i := range places {
 		if places[i].id == server {
--- a/internal/scheduler/policy.go
+++ b/internal/scheduler/policy.go
@@ -24,6 +24,12 @@
 	longText = 30
 	// worthMovingShort is worthMoving for shorter texts.
 	worthMovingShort = 2.2
+	// lagRatio is how many times slower than at their best half of the engines
+	// must seem to show that the observer is late; over lagMost they are slow.
+	lagRatio = 1.12
+	lagMost  = 1.6
+	// lagSamples is how many running texts tell that.
+	lagSamples = 5
 	// stalledPauses is how many usual pauses without an event make a run slow.
 	stalledPauses = 3
 )
@@ -112,6 +118,21 @@
 	return out
 }
 
+// lag returns by what factor texts seem slower than they are, from how many
+// times slower than at its best each engine seems to be: when most of them are
+// slow at once, the observer itself is late.
+func lag(slower []float64) float64 {
+	if len(slower) < lagSamples {
+		return 1
+	}
+	slices.Sort(slower)
+	median := slower[len(slower)/2]
+	if median < lagRatio {
+		return 1
+	}
+	return min(median, lagMost)
+}
+
 // better returns the place where a running text would be made much faster.
 func better(speed float64, events int, at string, min int64, places []place) (int, bool) {
 	best := -1
--- a/internal/scheduler/policy_test.go
+++ b/internal/scheduler/policy_test.go
@@ -109,6 +109,25 @@
 	}
 }
 
+// TestLag asserts when measurements are not held against the engines. The load
+// is the start of a large step, which keeps the scheduler itself busy.
+func TestLag(t *testing.T) {
+	tests := []struct {
+		name   string
+		slower []float64
+		want   float64
+	}{
+		{"too few texts", []float64{2, 2, 2, 2}, 1},
+		{"engines at their best", []float64{1, 1.02, 0.98, 1, 1.05}, 1},
+		{"a third of the engines is slow", []float64{1, 3, 1, 3, 1, 1.02}, 1},
+		{"all seem slow at once", []float64{1.3, 1.2, 1.4, 1.25, 1.3, 1}, 1.3},
+		{"most engines are slow", []float64{1, 3, 3, 3, 3, 1}, lagMost},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) { require.InDelta(t, tt.want, lag(tt.slower), 0.001) })
+	}
+}
+
 // TestEngineMemory asserts that an engine that was slow for a while gets work
 // again, and that one that is slow for good is known to be.
 func TestEngineMemory(t *testing.T) {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -21,6 +21,9 @@
 const (
 	// tick is how often the scheduler looks again without an event.
 	tick = 50 * time.Millisecond
+	// lookPause is the least time between two looks: each goes through all
+	// items, and the end of an item takes longer than that anyway.
+	lookPause = 8 * time.Millisecond
 	// commitPause is the pause before a failed write is tried again.
 	commitPause = 100 * time.Millisecond
 	// mailboxSize bounds the events that wait for the loop.
@@ -164,10 +167,14 @@
 	}
 }
 
-// Run works until the context ends.
+// Run works until the context ends. What happens in quick succession, as when
+// a large step begins, is looked at together.
 func (s *Scheduler) Run(ctx context.Context) error {
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
+	soon := time.NewTimer(lookPause)
+	defer soon.Stop()
+	var lookedAt time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -179,11 +186,18 @@
 				(<-s.mailbox)()
 			}
 		case <-ticker.C:
+		case <-soon.C:
 		}
-		s.schedule(time.Now())
-		s.commit(time.Now())
-		s.save(time.Now())
-		s.sweep(time.Now())
+		now := time.Now()
+		if rest := lookPause - now.Sub(lookedAt); rest > 0 {
+			soon.Reset(rest)
+			continue
+		}
+		lookedAt = now
+		s.schedule(now)
+		s.commit(now)
+		s.save(now)
+		s.sweep(now)
 	}
 }
 
--- a/internal/scheduler/weights.go
+++ b/internal/scheduler/weights.go
@@ -15,8 +15,11 @@
 const (
 	// moveTick is how often it is looked at which engines are behind.
 	moveTick = 50 * time.Millisecond
-	// orderTimeout bounds one order.
-	orderTimeout = 800 * time.Millisecond
+	// orderTimeout bounds one order or report; engines answer in some
+	// milliseconds.
+	orderTimeout = 300 * time.Millisecond
+	// orderTries is how often an order is sent that gets no answer.
+	orderTries = 5
 	// loadTime is how long a load takes that no other one slows down.
 	loadTime = 900 * time.Millisecond
 	// reportLag is how old the values of an engine's report are.
@@ -24,8 +27,8 @@
 	// followEvery is how often an engine that loads is asked whether it has.
 	followEvery = 30 * time.Millisecond
 	// askAgain is the pause before an engine that refused or did not answer is
-	// asked again.
-	askAgain = 300 * time.Millisecond
+	// asked again; one that crashed is back after seconds.
+	askAgain = 500 * time.Millisecond
 	// loadMost is how long an engine may take to carry an order out before it
 	// is asked again.
 	loadMost = 2500 * time.Millisecond
@@ -152,45 +155,40 @@
 	return n
 }
 
-// order asks one engine to load a version and follows it until it has.
+// order asks one engine to load a version and follows it until it has. An order
+// without an answer is sent again as long as the engine does not load: it names
+// the number of orders accepted so far, so that only one of them is accepted.
 func (m *Mover) order(ctx context.Context, server pool.Server, model string, version int64, rate *loadRate) {
 	defer func() {
 		m.mu.Lock()
 		defer m.mu.Unlock()
 		delete(m.loading, server.ID)
 	}()
-	report, err := m.report(ctx, server.Address)
-	if err != nil {
-		m.Log.Warn("weights: engine does not report", zap.String("server", server.ID), zap.String("reason", err.Error()))
-		m.pause(server.ID)
-		return
-	}
-	if report.Models[model] >= version {
-		m.Pool.Learn(server.ID, model, report.Models[model])
-		return
-	}
-	if report.Busy || !m.Valid() {
-		m.pause(server.ID)
-		return
-	}
-	m.avoid(server.ID, model, time.Now().Add(loadMost))
-	defer func() { m.avoid(server.ID, model, time.Now()) }()
-	status, err := m.send(ctx, server, model, version, report.Orders)
-	fields := []zap.Field{
-		zap.String("server", server.ID), zap.String("model", model), zap.Int64("version", version),
-		zap.Int64("had", report.Models[model]), zap.Int64("after-orders", report.Orders), zap.Int("status", status),
-	}
-	if err != nil {
-		// The order may still be carried out, so it is awaited like the others.
-		m.Log.Warn("weights: order without an answer", append(fields, zap.String("reason", err.Error()))...)
-	} else {
-		m.Log.Info("weights: ordered", fields...)
-	}
-	if err == nil && status != http.StatusOK && status != http.StatusAccepted {
-		m.pause(server.ID)
-		return
+	for range orderTries {
+		report, err := m.report(ctx, server.Address)
+		if err != nil {
+			m.Log.Warn("weights: engine does not report", zap.String("server", server.ID), zap.String("reason", err.Error()))
+			break
+		}
+		if report.Models[model] >= version {
+			m.Pool.Learn(server.ID, model, report.Models[model])
+			return
+		}
+		if report.Busy {
+			m.follow(ctx, server, model, version, rate, false)
+			return
+		}
+		status, err := m.send(ctx, server, model, version, report)
+		if err == nil && (status == http.StatusOK || status == http.StatusAccepted) {
+			m.follow(ctx, server, model, version, rate, true)
+			return
+		}
+		if err == nil || ctx.Err() != nil || !m.Valid() {
+			break
+		}
+		sleep(ctx, reportLag)
 	}
-	m.follow(ctx, server, model, version, rate, err == nil)
+	m.pause(server.ID)
 }
 
 // pause keeps an engine from being asked for a while.
@@ -207,18 +205,30 @@
 }
 
 // send sends the order, unless the right to do so has ended meanwhile.
-func (m *Mover) send(ctx context.Context, server pool.Server, model string, version, accepted int64) (int, error) {
+func (m *Mover) send(ctx context.Context, server pool.Server, model string, version int64, report Report) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	if !m.Valid() {
 		return 0, errors.New("no longer the holder of the duty")
 	}
-	return m.orders.SetVersion(ctx, server.ID, server.Address, model, version, accepted, m.retain(), m.fence)
+	status, err := m.orders.SetVersion(ctx, server.ID, server.Address, model, version, report.Orders, m.retain(), m.fence)
+	fields := []zap.Field{
+		zap.String("server", server.ID), zap.String("model", model), zap.Int64("version", version),
+		zap.Int64("had", report.Models[model]), zap.Int64("after-orders", report.Orders), zap.Int("status", status),
+	}
+	if err != nil {
+		m.Log.Warn("weights: order without an answer", append(fields, zap.String("reason", err.Error()))...)
+	} else {
+		m.Log.Info("weights: ordered", fields...)
+	}
+	return status, err
 }
 
 // follow asks an engine until it has loaded, since the list of servers tells
 // a second or two later. An order without an answer may begin at any time.
 func (m *Mover) follow(ctx context.Context, server pool.Server, model string, version int64, rate *loadRate, answered bool) {
+	m.avoid(server.ID, model, time.Now().Add(loadMost))
+	defer func() { m.avoid(server.ID, model, time.Now()) }()
 	began := time.Now()
 	m.mu.Lock()
 	service := m.loading[server.ID].service
