--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,7 @@
 
 matrix:
 	MATRIX_FILE=$(CURDIR)/docs/FAULT-MATRIX.md go test -count=1 -run TestFaultMatrix ./internal/forward
+	MATRIX_FILE=$(CURDIR)/docs/FAULT-MATRIX-JOBS.md go test -count=1 -run TestJobMatrix ./internal/node
 
 generate:
 	protoc --go_out=. --go_opt=module=cactusspoke --go-grpc_out=. --go-grpc_opt=module=cactusspoke \
--- a/internal/node/duty_test.go
+++ b/internal/node/duty_test.go
@@ -33,6 +33,33 @@
 	}
 }
 
+// TestUnansweredOrders asserts that an engine which leaves orders unanswered is
+// moved all the same within two seconds, and that of the orders that it carries
+// out late none counts a second time.
+func TestUnansweredOrders(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 1, 1)
+	c.configure(1, nil)
+	c.ready()
+	for _, w := range c.engines {
+		w.IgnoreOrders(2, 1500*time.Millisecond)
+	}
+	c.store.Put(platform.VersionPrefix+model, map[string]any{"Model": model, "Version": 2})
+	moved := func() bool { return c.engines[0].Version(model) == 2 && c.engines[1].Version(model) == 2 }
+	require.Eventually(t, moved, 2*time.Second, 10*time.Millisecond)
+	for _, w := range c.engines {
+		c.eventually(func() bool { return len(w.Orders()) == 3 })
+		accepted := 0
+		for _, o := range w.Orders() {
+			require.Zero(t, o.Expected)
+			if o.Status == http.StatusAccepted {
+				accepted++
+			}
+		}
+		require.Equal(t, 1, accepted)
+	}
+}
+
 // TestWeightsGoBack asserts that an engine which falls back to an older
 // version in the middle of a text adds nothing to a result.
 func TestWeightsGoBack(t *testing.T) {
--- a/internal/node/job_test.go
+++ b/internal/node/job_test.go
@@ -149,6 +149,25 @@
 	require.Equal(t, http.StatusOK, c.call(c.entries[0], http.MethodPost, "/safe/x", "r", key, nil, nil).status)
 }
 
+// TestSilentStore asserts that reads go on through a peer, without waiting for
+// the store each time, soon after it has stopped answering this instance.
+func TestSilentStore(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 2, 1)
+	c.configure(1, nil)
+	c.ready()
+	c.eventually(func() bool { return strings.Contains(c.listed(c.entries[0]), c.entries[1].settings.Front) })
+	require.Equal(t, http.StatusAccepted, c.call(c.entries[0], http.MethodPost, "/jobs/j", "j", key, job("j", 2, 1, nil), nil).status)
+	requireWhole(t, "j", 2, 5, c.finish(c.entries[0], "j"))
+	c.store.Silence(c.entries[0].door, true)
+	time.Sleep(2 * time.Second) // a renewal of its registration fails in that time
+	for range 3 {
+		a := c.call(c.entries[0], http.MethodGet, platform.Paths().JobResults+"j", "j", key, nil, nil)
+		require.Equal(t, http.StatusOK, a.status)
+		require.Less(t, a.took, time.Second)
+	}
+}
+
 // TestTakeover asserts that another node finishes a job whose holder stops,
 // and that the positions that were read stay.
 func TestTakeover(t *testing.T) {
