How long loads take is learned, and models without texts load last

Cause, found by reading the change: the first question whether an engine has loaded came after a fixed 0.9 s, so shorter loads were found late and longer ones given up; a model that no job uses was never loaded once another had texts. Change: the time of the shortest load is learned, an engine that says it loads is waited for, models without texts load last at all engines, the number at once grows by half an engine a load at first.

--- a/internal/scheduler/loads.go
+++ b/internal/scheduler/loads.go
@@ -16,6 +16,9 @@
 	// mostCut is the most that one slow load takes off the number of loads at
 	// once, as a share: the engine itself may have been slow.
 	mostCut = 0.3
+	// firstStep is added to the number that load at once for each load that
+	// ended in time, before one has not.
+	firstStep = 0.5
 	// limitStep is added to the number that load at once for each load that
 	// ended in time, close to the number at which one did not.
 	limitStep = 0.05
@@ -48,6 +51,15 @@
 	return r.shortest - reportLag/2
 }
 
+// firstLook returns how long after its order an engine is first asked whether
+// it has loaded.
+func (r *loadRate) firstLook() time.Duration {
+	if r.shortest == 0 {
+		return firstLook
+	}
+	return max(followEvery, r.shortest-reportLag)
+}
+
 // ended takes in a load that went on between two times while others did.
 func (r *loadRate) ended(began, now time.Time, atOnce int) {
 	took := now.Sub(began)
@@ -65,7 +77,7 @@
 		r.cutAt = now
 	case float64(atOnce) < math.Floor(r.limit):
 	case r.ceiling == 0:
-		r.limit++
+		r.limit += firstStep
 	case r.limit+1 < r.ceiling:
 		r.limit += 1 / math.Floor(r.limit)
 	default:
@@ -186,11 +198,13 @@
 // planLoads returns the loads to begin now, at most room of them. Engines that
 // no waiting text can use load first, then those that are furthest behind,
 // the fastest and the idlest of them first. An engine that waiting texts can
-// use does not load, since it refuses them meanwhile.
+// use does not load, since it refuses them meanwhile. Models without texts come
+// last, at all engines.
 func planLoads(engines []loader, needs map[string]need, home map[string]string, room int) []load {
 	type candidate struct {
 		load
 		useless bool
+		spare   bool
 		lag     int64
 		engine  loader
 	}
@@ -201,24 +215,19 @@
 		}
 		for model, version := range e.versions {
 			n := needs[model]
-			if own, ok := home[e.id]; n.named <= version || ok && own != model {
+			own, homed := home[e.id]
+			if n.named <= version || homed && own != model && n.texts > 0 {
 				continue
 			}
 			useless := n.starved && version < n.oldest
 			if n.starved && !useless {
 				continue
 			}
-			list = append(list, candidate{load{e.id, model}, useless, n.named - version, e})
+			list = append(list, candidate{load{e.id, model}, useless, homed && own != model, n.named - version, e})
 		}
 	}
 	slices.SortFunc(list, func(a, b candidate) int {
-		if a.useless != b.useless {
-			if a.useless {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Or(cmp.Compare(b.lag, a.lag), cmp.Compare(a.engine.speed, b.engine.speed),
+		return cmp.Or(first(a.useless, b.useless), first(b.spare, a.spare), cmp.Compare(b.lag, a.lag), cmp.Compare(a.engine.speed, b.engine.speed),
 			cmp.Compare(a.engine.running, b.engine.running), cmp.Compare(a.engine.id, b.engine.id))
 	})
 	var out []load
@@ -234,3 +243,15 @@
 	}
 	return out
 }
+
+// first orders what a condition holds for before what it does not hold for.
+func first(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	default:
+		return 1
+	}
+}
--- a/internal/scheduler/policy.go
+++ b/internal/scheduler/policy.go
@@ -69,19 +69,7 @@
 // step is as late as its last long text.
 func rank(texts []waiting) {
 	slices.SortStableFunc(texts, func(a, b waiting) int {
-		if d := cmp.Compare(a.priority, b.priority); d != 0 {
-			return d
-		}
-		if d := a.due.Compare(b.due); d != 0 {
-			return d
-		}
-		if a.carried != b.carried {
-			if a.carried {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Compare(b.left, a.left)
+		return cmp.Or(cmp.Compare(a.priority, b.priority), a.due.Compare(b.due), first(a.carried, b.carried), cmp.Compare(b.left, a.left))
 	})
 }
 
--- a/internal/scheduler/weights.go
+++ b/internal/scheduler/weights.go
@@ -20,8 +20,9 @@
 	orderTimeout = 300 * time.Millisecond
 	// orderTries is how often an order is sent that gets no answer.
 	orderTries = 5
-	// loadTime is how long a load takes that no other one slows down.
-	loadTime = 900 * time.Millisecond
+	// firstLook is when an engine is first asked whether it has loaded, as long
+	// as nothing is known of how long loads take.
+	firstLook = 300 * time.Millisecond
 	// reportLag is how old the values of an engine's report are.
 	reportLag = 100 * time.Millisecond
 	// followEvery is how often an engine that loads is asked whether it has.
@@ -29,8 +30,8 @@
 	// askAgain is the pause before an engine that refused or did not answer is
 	// asked again; one that crashed is back after seconds.
 	askAgain = 500 * time.Millisecond
-	// loadMost is how long an engine may take to carry an order out before it
-	// is asked again.
+	// loadMost is how long an engine that does not say that it loads may take
+	// to carry an order out before it is ordered again.
 	loadMost = 2500 * time.Millisecond
 )
 
@@ -122,7 +123,9 @@
 		id := s.Server.ID
 		servers[id] = s.Server
 		_, busy := m.loading[id]
-		engines = append(engines, loader{id, s.Running, seen.speed(id), s.Server.Models, busy || now.Before(m.paused[id])})
+		engines = append(engines, loader{
+			id: id, running: s.Running, speed: seen.speed(id), versions: s.Server.Models, busy: busy || now.Before(m.paused[id]),
+		})
 		for model := range s.Server.Models {
 			n := seen.needs[model]
 			n.named = versions[model]
@@ -227,23 +230,31 @@
 // follow asks an engine until it has loaded, since the list of servers tells
 // a second or two later. An order without an answer may begin at any time.
 func (m *Mover) follow(ctx context.Context, server pool.Server, model string, version int64, rate *loadRate, answered bool) {
-	m.avoid(server.ID, model, time.Now().Add(loadMost))
-	defer func() { m.avoid(server.ID, model, time.Now()) }()
 	began := time.Now()
+	until := began.Add(loadMost)
+	m.avoid(server.ID, model, until)
+	defer func() { m.avoid(server.ID, model, time.Now()) }()
 	m.mu.Lock()
 	service := m.loading[server.ID].service
 	atOnce := m.atOnce(service, began)
 	m.loading[server.ID] = loading{service, began.Add(rate.lasts())}
+	wait := rate.firstLook()
 	m.mu.Unlock()
 	if !answered {
 		atOnce = 0
 	}
-	sleep(ctx, loadTime)
-	for ; time.Since(began) < loadMost && ctx.Err() == nil; sleep(ctx, followEvery) {
+	sleep(ctx, wait)
+	for ; time.Now().Before(until) && ctx.Err() == nil; sleep(ctx, followEvery) {
 		report, err := m.report(ctx, server.Address)
-		if err == nil && report.Models[model] >= version {
+		switch {
+		case err != nil:
+			continue
+		case report.Models[model] >= version:
 			m.loaded(server, model, report.Models[model], began, rate, atOnce)
 			return
+		case report.Busy && time.Until(until) < loadMost/2:
+			until = time.Now().Add(loadMost)
+			m.avoid(server.ID, model, until)
 		}
 	}
 	m.Log.Warn("weights: order not carried out yet", zap.String("server", server.ID), zap.String("model", model), zap.Int64("version", version))
