--- /dev/null
+++ b/internal/scheduler/group_test.go
@@ -0,0 +1,74 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"cactusspoke/internal/batch"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestGroups asserts which finished item lets the trainer go on.
+func TestGroups(t *testing.T) {
+	job := func(wanted int, groups ...string) *batch.Job {
+		j := &batch.Job{Wanted: wanted}
+		for _, g := range groups {
+			j.Items = append(j.Items, batch.Item{Group: g})
+		}
+		return j
+	}
+	tests := []struct {
+		name     string
+		job      *batch.Job
+		carried  []string
+		finished []string
+		want     []bool
+	}{
+		{"the last item of the last wanted group", job(2, "a", "a", "b", "b", "c"), nil, []string{"a", "b", "a", "b"}, []bool{false, false, false, true}},
+		{"a group beyond those wanted", job(1, "a", "b"), nil, []string{"a", "b"}, []bool{true, true}},
+		{"a carried-over group is waited for", job(1, "a", "b"), []string{"b"}, []string{"a", "b"}, []bool{false, true}},
+		{"a carried-over group counts as one of those wanted", job(2, "a", "b", "c"), []string{"b"}, []string{"b", "c"}, []bool{false, true}},
+		{"a group of another job", job(1, "a"), []string{"z"}, []string{"a"}, []bool{true}},
+		{"a job without wanted groups", job(0, "a"), nil, []string{"a"}, []bool{false}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g := newGroups(tt.job)
+			for _, group := range tt.carried {
+				g.carry(group)
+				g.carry(group)
+			}
+			var got []bool
+			for _, group := range tt.finished {
+				got = append(got, g.finish(group))
+			}
+			require.Equal(t, tt.want, got)
+		})
+	}
+}
+
+// TestCommitWait asserts how long results are gathered. The load is the tail of
+// a step, whose texts end one by one.
+func TestCommitWait(t *testing.T) {
+	due := start.Add(10 * time.Second)
+	tests := []struct {
+		name     string
+		now      time.Time
+		size     int
+		decisive bool
+		want     time.Duration
+	}{
+		{"long before the due time", start, 100, false, commitEvery},
+		{"decisive", start, 100, true, 0},
+		{"many bytes", start, commitBytes, false, 0},
+		{"shortly before the due time", due.Add(-dueSpan / 2), 100, false, commitSoon},
+		{"shortly after it", due.Add(dueSpan / 2), 100, false, commitSoon},
+		{"long after it", due.Add(2 * dueSpan), 100, false, commitEvery},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			require.Equal(t, tt.want, commitWait(tt.now, due, tt.size, tt.decisive))
+		})
+	}
+}
