--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -209,7 +209,11 @@
 func (r *Registration) renew(ctx context.Context, lease kv.LeaseID) bool {
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
-	return !errors.Is(r.store.Keep(ctx, lease), kv.ErrNotFound)
+	err := r.store.Keep(ctx, lease)
+	if err != nil && !errors.Is(err, kv.ErrNotFound) {
+		r.log.Warn("directory: registration not renewed", zap.String("reason", err.Error()))
+	}
+	return !errors.Is(err, kv.ErrNotFound)
 }
 
 func (r *Registration) leave(lease kv.LeaseID) {
--- a/internal/scheduler/commit.go
+++ b/internal/scheduler/commit.go
@@ -40,8 +40,14 @@
 }
 
 func (s *Scheduler) finish(t *task, r batch.Result) {
-	s.Log.Info("item: finished", zap.String("id", t.item.ID), zap.String("job", t.job.spec.ID), zap.String("group", t.item.Group), zap.Bool("completed", r.Completed),
-		zap.Int("events", t.text.events), zap.Int64s("versions", r.Versions), zap.Duration("scoring", time.Since(t.wholeAt)))
+	fields := []zap.Field{
+		zap.String("id", t.item.ID), zap.String("job", t.job.spec.ID), zap.String("group", t.item.Group),
+		zap.Bool("completed", r.Completed), zap.Int("events", t.text.events), zap.Int64s("versions", r.Versions),
+	}
+	if t.whole {
+		fields = append(fields, zap.Duration("scoring", time.Since(t.wholeAt)))
+	}
+	s.Log.Info("item: finished", fields...)
 	t.state = taskDone
 	t.cancel = nil
 	if len(t.job.finished) == 0 {
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -85,8 +85,9 @@
 }
 
 // move ends runs at slow engines where a faster one has room; their texts go
-// on there. While texts wait, only long ones move.
-func (s *Scheduler) move(running []*task, service string, texts bool, late float64, now time.Time) {
+// on there. While others wait for a place, only long texts move. late is the
+// factor by which texts seem slower than they are.
+func (s *Scheduler) move(running []*task, service string, othersWait bool, late float64, now time.Time) {
 	servers := s.Pool.Servers(service)
 	byModel := map[string][]place{}
 	slices.SortStableFunc(running, func(a, b *task) int {
@@ -95,7 +96,7 @@
 	for _, t := range running {
 		speed := t.run.speed(now) / late
 		events := t.run.before + int(t.run.made.Load())
-		if speed == 0 || t.movingTo != "" || texts && events < longText {
+		if speed == 0 || t.movingTo != "" || othersWait && events < longText {
 			continue
 		}
 		model := t.job.spec.Model
@@ -117,6 +118,7 @@
 	}
 }
 
+// startAll begins waiting texts at engines with room.
 func (s *Scheduler) startAll(tasks []*task, texts []waiting, service string, now time.Time) {
 	servers := s.Pool.Servers(service)
 	if !anyRoom(servers) {
@@ -140,10 +142,12 @@
 	}
 }
 
+// anyRoom tells whether any engine has a free slot.
 func anyRoom(servers []pool.Snapshot) bool {
 	return slices.ContainsFunc(servers, func(s pool.Snapshot) bool { return s.Running < max(1, s.Server.Slots) })
 }
 
+// occupy takes a slot of an engine.
 func occupy(places []place, server string) {
 	for i := range places {
 		if places[i].id == server {
