Log the limits that servers name and the requests that each process sends them

Change: the HTTP client reports each request and response head to an observer; the pool counts requests by second of the wall clock and logs them for servers with a limit, so that the lines of all processes add up. No change of logic.

--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -94,11 +94,24 @@
 // Client sends requests and pools idle connections by address. It is safe for
 // concurrent use.
 type Client struct {
-	mu   sync.Mutex
-	idle map[string][]*conn
-	open atomic.Int64
+	mu       sync.Mutex
+	idle     map[string][]*conn
+	open     atomic.Int64
+	observer Observer
 }
 
+// Observer learns of the requests that a client sends. Its functions are called without
+// locks held and may be nil.
+type Observer struct {
+	// Sent is called before a request is written to a connection to an address.
+	Sent func(address string)
+	// Answered is called with the head of each response.
+	Answered func(address string, status int, header http.Header)
+}
+
+// Observe sets the observer. It must be called before the first request.
+func (c *Client) Observe(o Observer) { c.observer = o }
+
 // NewClient returns a client with an empty connection pool.
 func NewClient() *Client { return &Client{idle: map[string][]*conn{}} }
 
@@ -162,6 +175,9 @@
 		return nil, &Error{cause: err}
 	}
 	stopCancelWatch := context.AfterFunc(ctx, func() { _ = cn.Close() })
+	if c.observer.Sent != nil {
+		c.observer.Sent(address)
+	}
 	response, err := roundTrip(cn, r)
 	if err != nil {
 		stopCancelWatch()
@@ -171,6 +187,9 @@
 		}
 		return nil, &Error{sent: true, cause: err}
 	}
+	if c.observer.Answered != nil {
+		c.observer.Answered(address, response.StatusCode, response.Header)
+	}
 	return &Response{httpResponse: response, conn: cn, client: c, stopCancelWatch: stopCancelWatch, ctx: ctx}, nil
 }
 
--- a/internal/node/scheduler.go
+++ b/internal/node/scheduler.go
@@ -49,10 +49,19 @@
 	// active is the scheduler of the current term; nil while the node does not
 	// hold the duty.
 	active atomic.Pointer[scheduler.Scheduler]
+	// pool is that of the current or last term.
+	pool atomic.Pointer[pool.Pool]
 }
 
 func NewScheduler(settings *Settings, adapter Adapter, metrics *telemetry.Registry, log *zap.Logger) *Scheduler {
-	return &Scheduler{settings: settings, adapter: adapter, metrics: metrics, log: log, backends: http1.NewClient(), clock: walltime.New()}
+	n := &Scheduler{settings: settings, adapter: adapter, metrics: metrics, log: log, backends: http1.NewClient(), clock: walltime.New()}
+	n.backends.Observe(n.observer())
+	return n
+}
+
+// observer counts requests at the pool of the current term.
+func (n *Scheduler) observer() http1.Observer {
+	return pool.NewObserver(n.pool.Load, n.adapter.Headers, n.metrics)
 }
 
 // notifyActive makes the scheduler of the current term look for changes.
@@ -114,9 +123,12 @@
 		Metrics: n.metrics, Log: n.log, FailureDomain: s.FailureDomain, Clock: n.clock, JobRetention: s.JobRetention,
 	}
 	sched := scheduler.New(ctx, config)
-	controlClient := n.adapter.NewControlClient(http1.NewClient(), s.Name, s.CloudAddress)
+	controlConnections := http1.NewClient()
+	controlConnections.Observe(n.observer())
+	controlClient := n.adapter.NewControlClient(controlConnections, s.Name, s.CloudAddress)
 	fencingToken := int64(fence.Revision)
 	components := newComponentGroup(ctx, n.log)
+	n.pool.Store(serverPool)
 	n.active.Store(sched)
 	defer n.active.Store(nil)
 	n.metrics.SetGauge("duty_held", 1)
@@ -124,6 +136,7 @@
 	publisher := pool.NewPublisher(store, fence, lease, n.adapter.DecodeServer, view.ForwardsTo, n.log)
 	components.start("servers", kv.NewFollower(store, n.adapter.ServersPrefix, schedulerServersWatchInterval, kv.Tee(serverPool, publisher), n.log).Run)
 	components.start("publisher", publisher.Run)
+	components.start("limits", serverPool.LogLimits)
 	components.start("versions", kv.NewFollower(store, n.adapter.Decoder.VersionPrefix, 0, view, n.log).Run)
 	schedulerDone := components.startIn(ctx, "items", sched.Run)
 	components.start("jobs", kv.NewFollower(store, batch.JobPrefix, 0, sched.JobView(), n.log).Run)
--- a/internal/pool/server.go
+++ b/internal/pool/server.go
@@ -2,7 +2,11 @@
 // request.
 package pool
 
-import "time"
+import (
+	"time"
+
+	"cactusspoke/internal/ratelimit"
+)
 
 // Server is a backend server as described by its own registration.
 type Server struct {
@@ -41,4 +45,9 @@
 	// an assumed one after a rejection.
 	reportedLoad   int
 	loadReportedAt time.Time
+	// limit is the number of requests a second that the server takes from all senders
+	// together; 0 if it named none.
+	limit float64
+	// sent counts the requests that this process sent.
+	sent ratelimit.Counter
 }
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -29,6 +29,9 @@
 	// Load is a comma-separated list of a backend server's running requests,
 	// queued requests and slots.
 	Load string
+	// RateLimit is the number of requests a second, a decimal number, that a backend
+	// server takes from all senders together for as long as its responses say so.
+	RateLimit string
 	// LengthHint is the caller's estimate of the number of output tokens.
 	LengthHint string
 	// LastEventID is the ID of the event after which a stream resumes.
