--- /dev/null
+++ b/internal/node/limit_test.go
@@ -0,0 +1,145 @@
+package node_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"cactusspoke/platform"
+	"cactusspoke/platform/standin"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	// limitContact is how long after a server first named its limit the limit holds.
+	limitContact = 3 * time.Second
+	// limitWindow, limitRatio and limitSlack bound the requests to a server: in any
+	// limitWindow at most limitRatio times what the limit allows, plus limitSlack.
+	limitWindow = 4 * time.Second
+	limitRatio  = 1.5
+	limitSlack  = 5
+)
+
+// mostInWindow returns the largest number of arrivals in any limitWindow that begins
+// after from.
+func mostInWindow(arrivals []time.Time, from time.Time) int {
+	most := 0
+	for first := range arrivals {
+		if arrivals[first].Before(from) {
+			continue
+		}
+		end := first
+		for end < len(arrivals) && arrivals[end].Sub(arrivals[first]) < limitWindow {
+			end++
+		}
+		most = max(most, end-first)
+	}
+	return most
+}
+
+// TestRequestsAboveServerLimit guards against servers that get more requests than the
+// limit that they name, summed over all processes.
+func TestRequestsAboveServerLimit(t *testing.T) {
+	t.Parallel()
+	tests := []struct {
+		name    string
+		disturb func(c *cluster)
+	}{
+		{"undisturbed", func(*cluster) {}},
+		{"the holder stops and another takes over", func(c *cluster) {
+			time.Sleep(4 * time.Second)
+			c.dutyHolder().stop()
+		}},
+		{"an entry instance restarts", func(c *cluster) {
+			time.Sleep(4 * time.Second)
+			c.entries[1].stop()
+			<-c.entries[1].done
+			c.start("entry-1", 1, true)
+		}},
+		{"an entry instance loses the store, then all do", func(c *cluster) {
+			time.Sleep(3 * time.Second)
+			c.store.SetUnavailable(2, true)
+			time.Sleep(3 * time.Second)
+			c.store.SetUnavailable(2, false)
+			c.store.SetDown(true)
+			time.Sleep(3 * time.Second)
+			c.store.SetDown(false)
+		}},
+		{"new weights are published", func(c *cluster) {
+			for version := 2; version < 6; version++ {
+				time.Sleep(2 * time.Second)
+				c.store.Put(platform.VersionPrefix+model, map[string]any{"Model": model, "Version": version})
+			}
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t, 3, 2)
+			c.putConfig(1, nil)
+			c.waitReady()
+			limits := map[*standin.BackendServer]float64{c.engines[0]: 2, c.engines[1]: 3, c.plainServers[0]: 4, c.plainServers[1]: 5}
+			for server, limit := range limits {
+				server.SetRateLimit(limit)
+			}
+			started := time.Now()
+			ctx, stop := context.WithTimeout(context.Background(), 13*time.Second)
+			defer stop()
+			served := c.loadAboveLimits(ctx)
+			tt.disturb(c)
+			<-ctx.Done()
+			for server, limit := range limits {
+				arrivals := server.Arrivals()
+				require.LessOrEqual(t, float64(mostInWindow(arrivals, started.Add(limitContact))), limitRatio*limit*limitWindow.Seconds()+limitSlack,
+					"%s got more than its limit of %v a second", server.ID, limit)
+			}
+			require.Positive(t, served.Load())
+		})
+	}
+}
+
+// loadAboveLimits sends requests, streams and jobs from many callers until the context
+// ends, more than the servers with limits take. It counts the requests that were served.
+func (c *cluster) loadAboveLimits(ctx context.Context) *atomic.Int64 {
+	var served atomic.Int64
+	var callers sync.WaitGroup
+	c.t.Cleanup(callers.Wait)
+	repeat := func(interval time.Duration, call func(n int)) {
+		callers.Add(1)
+		go func() {
+			defer callers.Done()
+			for n := 0; ctx.Err() == nil; n++ {
+				call(n)
+				select {
+				case <-ctx.Done():
+				case <-time.After(interval):
+				}
+			}
+		}()
+	}
+	for i, p := range c.entries {
+		for lane := range 4 {
+			repeat(50*time.Millisecond, func(n int) {
+				headers := map[string]string{platform.Headers().DeadlineMS: "800"}
+				path := []string{"/safe/x", "/unsafe/x", "/stream/x"}[n%3]
+				if path == "/stream/x" {
+					headers["X-Model"] = model
+				}
+				if c.sendContext(ctx, p, http.MethodPost, path, fmt.Sprintf("r-%d-%d-%d", i, lane, n), key, nil, headers).status == http.StatusOK {
+					served.Add(1)
+				}
+			})
+		}
+	}
+	repeat(2*time.Second, func(n int) {
+		id := "limited-" + strconv.Itoa(n)
+		c.sendContext(ctx, c.entries[0], http.MethodPost, "/jobs/"+id, id, key, jobBody(id, 20, 1, nil), nil)
+	})
+	return &served
+}
