Requests to a server stay within the limit that it names

Cause: no process read the limit; placement filled all free slots at once, and the senders (entry instances, items, rewards, reports and orders) were counted nowhere together. Ruled out: bursts alone; a single process at its own limit would still add up. A pacer spaces the requests. The pool places by it; requests wait for their turn if they can still be served, and are refused at once with the time to come back if not. Items, migrations and preemptions follow it; reports and orders are charged and loads of limited engines spaced. The holder publishes the limits, so that the next one and restarted processes know them.

--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -66,6 +66,8 @@
 	errorResponse *bufferedResponse
 	// reason describes the failure of the last attempt.
 	reason string
+	// limitWait is how long the limits of all servers allow no further request.
+	limitWait time.Duration
 }
 
 // bufferedResponse is a backend server's response that was read whole.
@@ -105,9 +107,9 @@
 	service := r.route.PickService(rand.Float64())
 	state := &forwardState{triedServers: map[string]bool{}}
 	for ctx.Err() == nil && state.failures < r.route.MaxAttempts && state.rejections < r.route.MaxAttempts+maxExtraRejections {
-		handle, ok := s.Pool.Acquire(service, s.FailureDomain, func(server pool.Server, _ int) bool { return !state.triedServers[server.ID] })
+		handle, ok := s.acquire(ctx, r, state, service)
 		if !ok {
-			if state.rejections == 0 || state.mayHaveRun {
+			if state.rejections == 0 || state.mayHaveRun || state.limitWait > 0 {
 				break
 			}
 			clear(state.triedServers)
@@ -142,6 +144,36 @@
 	s.respondFailure(ctx, c, r, state, fingerprint)
 }
 
+// acquire selects a server for the next attempt. If the limits of all servers are used
+// up, it waits for the next request that one of them takes, unless the request could not
+// be served in time then.
+func (s *Server) acquire(ctx context.Context, r *callerRequest, state *forwardState, service string) (*pool.Handle, bool) {
+	untried := func(server pool.Server) bool { return !state.triedServers[server.ID] }
+	latestStart := r.deadline.Add(-max(responseMargin, r.route.LatencyObjective))
+	for ctx.Err() == nil {
+		handle, ok := s.Pool.Acquire(service, s.FailureDomain, func(server pool.Server, _ int) bool { return untried(server) })
+		if ok {
+			return handle, true
+		}
+		handle, wait := s.Pool.Reserve(service, untried, latestStart)
+		if handle == nil {
+			state.limitWait = wait
+			if wait > 0 {
+				state.reason = "the limits of all servers are used up"
+				s.Metrics.Inc("limit_refusals_total", "service", service)
+			}
+			return nil, false
+		}
+		s.Metrics.Observe("limit_wait", wait)
+		kv.Sleep(ctx, wait)
+		if ctx.Err() == nil && handle.Usable() {
+			return handle, true
+		}
+		handle.Release(pool.Abandoned)
+	}
+	return nil, false
+}
+
 // respondFailure sends the final response to a request that failed on all servers.
 func (s *Server) respondFailure(_ context.Context, c *app.RequestContext, r *callerRequest, state *forwardState, fingerprint poison.Fingerprint) {
 	// Only reported when no attempt succeeded: a request that another server serves
@@ -157,7 +189,7 @@
 		if reason == "" {
 			reason = "no backend server available"
 		}
-		s.respondError(c, r, http.StatusServiceUnavailable, retryAfterBusy, reason)
+		s.respondError(c, r, http.StatusServiceUnavailable, max(retryAfterBusy, state.limitWait), reason)
 	case time.Until(r.deadline) <= responseMargin:
 		s.respondError(c, r, http.StatusGatewayTimeout, 0, "out of time: "+state.reason)
 	default:
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -13,6 +13,7 @@
 	"cactusspoke/internal/poison"
 	"cactusspoke/internal/pool"
 	"cactusspoke/internal/protocol"
+	"cactusspoke/internal/ratelimit"
 	"cactusspoke/internal/routetable"
 	"cactusspoke/internal/telemetry"
 	"cactusspoke/internal/walltime"
@@ -98,7 +99,9 @@
 	store := kv.NewMonitoredStore(metered)
 	view := routetable.NewView(e.adapter.Decoder, e.log, func() {})
 	serverPool := pool.New(e.adapter.DecodeServer, e.log, func() {})
-	backends.Observe(pool.NewObserver(func() *pool.Pool { return serverPool }, e.adapter.Headers, e.metrics))
+	backends.Observe(pool.NewObserver(func() *pool.Pool { return serverPool }, e.adapter.Headers, e.metrics, false))
+	members := ratelimit.NewMembers(directory.Prefix)
+	serverPool.UseShares(limitShares(s.Name, false, view, members))
 	entryDirectory := directory.New()
 	poisonTracker := poison.New(store, e.log)
 	clock := walltime.New()
@@ -113,7 +116,8 @@
 	serverSubscriber := pool.NewSubscriber(serverPool, func(ctx context.Context, view kv.View) error {
 		return kv.NewFollower(store, e.adapter.ServersPrefix, entryServersWatchInterval, view, e.log).Run(ctx)
 	}, e.log)
-	entryViews := kv.NewMux().Add(directory.Prefix, entryDirectory).Add(poison.Prefix, poisonTracker).Add(pool.ServerListKey, serverSubscriber)
+	entryViews := kv.NewMux().Add(directory.Prefix, entryDirectory).Add(poison.Prefix, poisonTracker).
+		Add(pool.ServerListKey, serverSubscriber).Add(directory.Prefix, members).Add(pool.LimitListKey, serverPool.LimitView())
 	components := newComponentGroup(workCtx, e.log)
 	replicas := e.newReplicas(store, entryDirectory, view, entryViews)
 	components.start("replica", replicas.follower.Run)
--- /dev/null
+++ b/internal/node/limit.go
@@ -0,0 +1,22 @@
+package node
+
+import (
+	"time"
+
+	"cactusspoke/internal/pool"
+	"cactusspoke/internal/ratelimit"
+	"cactusspoke/internal/routetable"
+)
+
+// limitShares returns the function that decides how much of a server's limit this
+// process uses, given the configuration and the entry instances.
+func limitShares(self string, holder bool, view *routetable.View, members *ratelimit.Members) pool.ShareFunc {
+	return func(server pool.Server, limit float64, now time.Time) float64 {
+		senders := ratelimit.Senders{
+			Self: self, IsHolder: holder,
+			HolderSends: view.HolderSendsTo(server.Service), EntriesSend: view.ForwardsTo(server.Service),
+		}
+		members.Fill(&senders, now)
+		return ratelimit.Share(server.ID, limit, senders)
+	}
+}
--- a/internal/node/limit_test.go
+++ b/internal/node/limit_test.go
@@ -143,3 +143,53 @@
 	})
 	return &served
 }
+
+// TestRefusalAtServerLimit asserts that a request which the limits of all servers do not
+// let through in time is refused at once, with the time to come back, and never runs; one
+// that has the time waits and is served.
+func TestRefusalAtServerLimit(t *testing.T) {
+	t.Parallel()
+	tests := []struct {
+		name     string
+		deadline string
+		status   int
+	}{
+		{"no time", "300", http.StatusServiceUnavailable},
+		{"time to wait", "6000", http.StatusOK},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t, 1, 0)
+			c.putConfig(1, routeOverrides{"safe": {"TimeoutMs": 8000}})
+			c.waitReady()
+			for _, server := range c.plainServers {
+				server.SetRateLimit(1)
+			}
+			for n := range 4 {
+				c.send(c.entries[0], http.MethodPost, "/safe/x", fmt.Sprintf("learn-%d", n), key, nil, map[string]string{platform.Headers().DeadlineMS: "300"})
+			}
+			a := c.send(c.entries[0], http.MethodPost, "/safe/x", "late", key, nil, map[string]string{platform.Headers().DeadlineMS: tt.deadline})
+			require.Equal(t, tt.status, a.status)
+			runs := 0
+			for _, server := range c.plainServers {
+				for _, r := range server.Requests() {
+					if r.ID == "late" {
+						runs++
+					}
+				}
+			}
+			if tt.status == http.StatusOK {
+				require.Equal(t, 1, runs)
+				require.Greater(t, a.took, 100*time.Millisecond, "it waits for its turn")
+				return
+			}
+			require.Zero(t, runs)
+			require.Less(t, a.took, 150*time.Millisecond, "it is refused at once")
+			seconds, err := strconv.ParseFloat(a.header.Get("Retry-After"), 64)
+			require.NoError(t, err)
+			require.Greater(t, seconds, 0.2)
+			require.Less(t, seconds, 8.0)
+		})
+	}
+}
--- a/internal/node/scheduler.go
+++ b/internal/node/scheduler.go
@@ -6,11 +6,13 @@
 	"time"
 
 	"cactusspoke/internal/batch"
+	"cactusspoke/internal/directory"
 	"cactusspoke/internal/election"
 	"cactusspoke/internal/http1"
 	"cactusspoke/internal/kv"
 	"cactusspoke/internal/meter"
 	"cactusspoke/internal/pool"
+	"cactusspoke/internal/ratelimit"
 	"cactusspoke/internal/routetable"
 	"cactusspoke/internal/scheduler"
 	"cactusspoke/internal/telemetry"
@@ -55,13 +57,14 @@
 
 func NewScheduler(settings *Settings, adapter Adapter, metrics *telemetry.Registry, log *zap.Logger) *Scheduler {
 	n := &Scheduler{settings: settings, adapter: adapter, metrics: metrics, log: log, backends: http1.NewClient(), clock: walltime.New()}
-	n.backends.Observe(n.observer())
+	n.backends.Observe(n.observer(false))
 	return n
 }
 
-// observer counts requests at the pool of the current term.
-func (n *Scheduler) observer() http1.Observer {
-	return pool.NewObserver(n.pool.Load, n.adapter.Headers, n.metrics)
+// observer counts requests at the pool of the current term. control is set for a client
+// whose requests are not acquired from the pool.
+func (n *Scheduler) observer(control bool) http1.Observer {
+	return pool.NewObserver(n.pool.Load, n.adapter.Headers, n.metrics, control)
 }
 
 // notifyActive makes the scheduler of the current term look for changes.
@@ -124,10 +127,16 @@
 	}
 	sched := scheduler.New(ctx, config)
 	controlConnections := http1.NewClient()
-	controlConnections.Observe(n.observer())
+	controlConnections.Observe(n.observer(true))
 	controlClient := n.adapter.NewControlClient(controlConnections, s.Name, s.CloudAddress)
 	fencingToken := int64(fence.Revision)
 	components := newComponentGroup(ctx, n.log)
+	members := ratelimit.NewMembers(directory.Prefix)
+	serverPool.UseShares(limitShares(s.Name, true, view, members))
+	limits := pool.NewLimitPublisher(store, fence, serverPool, n.log)
+	if err := limits.Load(ctx); err != nil {
+		n.log.Warn("scheduler: the limits of servers are unknown", zap.String("reason", err.Error()))
+	}
 	n.pool.Store(serverPool)
 	n.active.Store(sched)
 	defer n.active.Store(nil)
@@ -136,7 +145,9 @@
 	publisher := pool.NewPublisher(store, fence, lease, n.adapter.DecodeServer, view.ForwardsTo, n.log)
 	components.start("servers", kv.NewFollower(store, n.adapter.ServersPrefix, schedulerServersWatchInterval, kv.Tee(serverPool, publisher), n.log).Run)
 	components.start("publisher", publisher.Run)
-	components.start("limits", serverPool.LogLimits)
+	components.start("entries", kv.NewFollower(store, directory.Prefix, entryWatchInterval, members, n.log).Run)
+	components.start("limit-counts", serverPool.LogLimits)
+	components.start("limits", limits.Run)
 	components.start("versions", kv.NewFollower(store, n.adapter.Decoder.VersionPrefix, 0, view, n.log).Run)
 	schedulerDone := components.startIn(ctx, "items", sched.Run)
 	components.start("jobs", kv.NewFollower(store, batch.JobPrefix, 0, sched.JobView(), n.log).Run)
--- a/internal/pool/limit.go
+++ b/internal/pool/limit.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -15,14 +17,52 @@
 	"go.uber.org/zap"
 )
 
+const (
+	// rateMaxAge is how long a share is used before it is determined again.
+	rateMaxAge = 250 * time.Millisecond
+	// answerMaxAge is how long this process's own answers from a server go before the
+	// limits that the duty holder published.
+	answerMaxAge = 5 * time.Second
+	// noShareWait is reported as the wait while all servers have limits of which this
+	// process has no share. Other processes have them, which a caller reaches next.
+	noShareWait = 200 * time.Millisecond
+)
+
+// ShareFunc returns the requests a second that this process may send to a server that
+// takes limit requests a second from all processes.
+type ShareFunc func(server Server, limit float64, now time.Time) float64
+
+// UseShares sets the function that decides this process's shares. Without one, it uses
+// whole limits.
+func (p *Pool) UseShares(share ShareFunc) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.share = share
+}
+
+// pacer returns what spaces the requests to a server with a limit, at this process's
+// current share of the limit. The caller holds mu.
+func (p *Pool) pacer(s *serverState, now time.Time) *ratelimit.Pacer {
+	if s.rateAt.IsZero() || now.Sub(s.rateAt) > rateMaxAge {
+		s.rateAt = now
+		rate := s.limit
+		if p.share != nil {
+			rate = p.share(s.server, s.limit, now)
+		}
+		s.pacing.SetRate(now, rate)
+	}
+	return &s.pacing
+}
+
 // NewObserver returns the observer of a client that sends to the servers of the current
 // pool, which may be nil. It counts the requests to each server and reads the limits that
-// the servers name.
-func NewObserver(current func() *Pool, headers protocol.Headers, metrics *telemetry.Registry) http1.Observer {
+// the servers name. control means that the requests are not acquired from the pool, but
+// delay those that are.
+func NewObserver(current func() *Pool, headers protocol.Headers, metrics *telemetry.Registry, control bool) http1.Observer {
 	return http1.Observer{
 		Sent: func(address string) {
 			if p := current(); p != nil {
-				p.countRequest(address, metrics)
+				p.countRequest(address, metrics, control)
 			}
 		},
 		Answered: func(address string, status int, header http.Header) {
@@ -34,16 +74,21 @@
 }
 
 // countRequest counts a request to the server at an address.
-func (p *Pool) countRequest(address string, metrics *telemetry.Registry) {
+func (p *Pool) countRequest(address string, metrics *telemetry.Registry, control bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.byAddress(address)
 	if s == nil {
 		return
 	}
-	s.sent.Add(time.Now())
-	if s.limit > 0 {
-		metrics.Inc("limited_server_requests_total", "service", s.server.Service)
+	now := time.Now()
+	s.sent.Add(now)
+	if !s.limited {
+		return
+	}
+	metrics.Inc("limited_server_requests_total", "service", s.server.Service)
+	if control {
+		p.pacer(s, now).Take(now)
 	}
 }
 
@@ -60,7 +105,7 @@
 }
 
 // readLimit records the limit in a response. A response to a request that names none
-// ends the limit; control calls are answered without one.
+// ends the limit; control requests may be answered without one.
 func (p *Pool) readLimit(address, text string, request bool) {
 	if text == "" && !request {
 		return
@@ -68,19 +113,123 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.byAddress(address)
-	if s == nil || text == "" && s.limit == 0 {
+	if s == nil {
 		return
 	}
 	limit, err := strconv.ParseFloat(text, 64)
-	if text != "" && (err != nil || limit < 0) {
+	if text != "" && (err != nil || limit < 0 || math.IsNaN(limit)) {
 		p.log.Warn("pool: unreadable limit ignored", zap.String("server", s.server.ID), zap.String("limit", text))
 		return
 	}
-	if limit != s.limit {
-		p.log.Info("pool: server named a limit", zap.String("server", s.server.ID), zap.String("service", s.server.Service),
-			zap.Float64("per-second", limit), zap.Float64("before", s.limit))
+	now := time.Now()
+	s.answeredAt = now
+	p.setLimit(s, text != "", limit, now)
+}
+
+// setLimit records that a server has a limit or none. The first request under a limit
+// waits as if another had just been sent.
+func (p *Pool) setLimit(s *serverState, limited bool, limit float64, now time.Time) {
+	if limited == s.limited && limit == s.limit {
+		return
+	}
+	p.log.Info("pool: limit of a server", zap.String("server", s.server.ID), zap.String("service", s.server.Service),
+		zap.Bool("limited", limited), zap.Float64("per-second", limit), zap.Float64("before", s.limit))
+	begins := limited && !s.limited
+	s.limited, s.limit, s.rateAt = limited, limit, time.Time{}
+	if begins {
+		pacer := p.pacer(s, now)
+		pacer.Delay(now, pacer.Interval())
 	}
-	s.limit = limit
+}
+
+// Reserve selects the server of a service that can get a request soonest under its limit,
+// among those that accept allows, if that is until latest. The caller sends the request
+// after the returned wait, unless the handle is no longer usable then. Without a handle,
+// the wait is that of the soonest server, or 0 if there is none.
+func (p *Pool) Reserve(service string, accept func(Server) bool, latest time.Time) (*Handle, time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	p.removeMissing(now)
+	var best *serverState
+	var soonest time.Duration
+	limited := false
+	for _, s := range p.servers {
+		if s.server.Service != service || s.server.Draining || s.misdirected || !s.limited || !accept(s.server) {
+			continue
+		}
+		limited = true
+		pacer := p.pacer(s, now)
+		if pacer.Rate() == 0 {
+			continue
+		}
+		if wait := pacer.Wait(now); best == nil || wait < soonest {
+			best, soonest = s, wait
+		}
+	}
+	if best == nil && limited {
+		return nil, noShareWait
+	}
+	if best == nil || now.Add(soonest).After(latest) {
+		return nil, soonest
+	}
+	h := p.take(best, now)
+	h.startedAt = now.Add(soonest)
+	return h, soonest
+}
+
+// Usable reports whether the server may still get the request.
+func (h *Handle) Usable() bool {
+	h.pool.mu.Lock()
+	defer h.pool.mu.Unlock()
+	s := h.state
+	return !s.server.Draining && !s.misdirected && s.missingSince.IsZero()
+}
+
+// PublishedLimit is a server's limit that the duty holder published.
+type PublishedLimit struct {
+	Born      int64
+	PerSecond float64
+}
+
+// Limits returns the limits of the pool's servers, by id.
+func (p *Pool) Limits() map[string]PublishedLimit {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := map[string]PublishedLimit{}
+	for _, s := range p.servers {
+		if s.limited {
+			out[s.server.ID] = PublishedLimit{s.server.Born, s.limit}
+		}
+	}
+	return out
+}
+
+// SeedLimits records the limits that another process published. They apply to servers
+// that did not answer this process lately.
+func (p *Pool) SeedLimits(seeds map[string]PublishedLimit) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.seeds = seeds
+	now := time.Now()
+	for _, s := range p.servers {
+		p.applySeed(s, now)
+	}
+}
+
+// applySeed applies a published limit to a server. The first request waits for a random
+// time, since other processes learn of the limit at the same time.
+func (p *Pool) applySeed(s *serverState, now time.Time) {
+	if !s.answeredAt.IsZero() && now.Sub(s.answeredAt) < answerMaxAge {
+		return
+	}
+	seed, ok := p.seeds[s.server.ID]
+	if !ok || seed.Born != s.server.Born || s.limited {
+		return
+	}
+	p.setLimit(s, true, seed.PerSecond, now)
+	pacer := p.pacer(s, now)
+	pacer.Delay(now, time.Duration((1+rand.Float64())*float64(pacer.Interval())))
 }
 
 // LogLimits logs how many requests this process sent to each server with a limit, by
@@ -99,14 +248,17 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, s := range p.servers {
+		if !s.limited {
+			continue
+		}
 		first, counts := s.sent.Window(now)
 		total := 0
 		for _, n := range counts {
 			total += n
 		}
-		if s.limit > 0 && total > 0 {
+		if total > 0 {
 			p.log.Info("pool: requests to a limited server", zap.String("server", s.server.ID), zap.Float64("per-second", s.limit),
-				zap.Int64("from", first), zap.Ints("sent", counts))
+				zap.Float64("share", p.pacer(s, now).Rate()), zap.Int64("from", first), zap.Ints("sent", counts))
 		}
 	}
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -67,6 +67,9 @@
 	reachable      bool
 	reachableSince time.Time
 	onChange       func()
+	share          ShareFunc
+	// seeds are the limits that another process published, by the id of the server.
+	seeds map[string]PublishedLimit
 }
 
 // New returns an empty pool. onChange is called without locks held after
@@ -160,6 +163,8 @@
 			zap.String("address", server.Address), zap.Int64("born", server.Born))
 		s = &serverState{}
 		p.servers[item.Key] = s
+		s.server = server
+		p.applySeed(s, time.Now())
 	}
 	if server.Draining && !s.server.Draining {
 		p.log.Info("pool: server is draining", zap.String("server", server.ID))
@@ -233,12 +238,20 @@
 	if best == nil {
 		return nil, false
 	}
-	best.running++
-	return &Handle{pool: p, state: best, server: best.server, startedAt: now}, true
+	return p.take(best, now), true
+}
+
+// take counts a request that is sent to a server.
+func (p *Pool) take(s *serverState, now time.Time) *Handle {
+	s.running++
+	if s.limited {
+		p.pacer(s, now).Take(now)
+	}
+	return &Handle{pool: p, state: s, server: s.server, startedAt: now}
 }
 
 // selectServer returns the server with the lowest score; nil if none is
-// suitable.
+// suitable. Servers that may not get a request now because of their limit are not.
 func (p *Pool) selectServer(service, domain string, accept func(Server, int) bool, now time.Time, includeEjected bool) *serverState {
 	var best *serverState
 	score := math.Inf(1)
@@ -246,6 +259,9 @@
 		if s.server.Service != service || s.server.Draining || s.misdirected || !accept(s.server, s.running) {
 			continue
 		}
+		if s.limited && !p.pacer(s, now).Allows(now) {
+			continue
+		}
 		if !includeEjected && now.Before(s.ejectedUntil) {
 			continue
 		}
@@ -333,6 +349,22 @@
 	Server  Server
 	Running int
 	Ejected bool
+	// Limited means that the server named a limit. This process may then send it Rate
+	// requests a second, and Allowed of them now.
+	Limited bool
+	Rate    float64
+	Allowed int
+}
+
+// snapshot returns the state of a server; the caller holds mu.
+func (p *Pool) snapshot(s *serverState, now time.Time) Snapshot {
+	out := Snapshot{Server: s.server, Running: s.running, Ejected: now.Before(s.ejectedUntil), Limited: s.limited}
+	if s.limited {
+		pacer := p.pacer(s, now)
+		out.Rate = pacer.Rate()
+		out.Allowed = pacer.Available(now, max(1, s.server.Slots))
+	}
+	return out
 }
 
 // Servers returns the servers of a service in no particular order.
@@ -344,7 +376,7 @@
 	var out []Snapshot
 	for _, s := range p.servers {
 		if s.server.Service == service && !s.misdirected {
-			out = append(out, Snapshot{s.server, s.running, now.Before(s.ejectedUntil)})
+			out = append(out, p.snapshot(s, now))
 		}
 	}
 	return out
@@ -368,14 +400,15 @@
 	}
 }
 
-// AcquireServer selects a server by its id.
+// AcquireServer selects a server by its id. It fails if the server's limit allows no
+// request now.
 func (p *Pool) AcquireServer(id string) (*Handle, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	now := time.Now()
 	for _, s := range p.servers {
-		if s.server.ID == id && !s.misdirected {
-			s.running++
-			return &Handle{pool: p, state: s, server: s.server, startedAt: time.Now()}, true
+		if s.server.ID == id && !s.misdirected && (!s.limited || p.pacer(s, now).Allows(now)) {
+			return p.take(s, now), true
 		}
 	}
 	return nil, false
--- a/internal/pool/server.go
+++ b/internal/pool/server.go
@@ -45,9 +45,15 @@
 	// an assumed one after a rejection.
 	reportedLoad   int
 	loadReportedAt time.Time
-	// limit is the number of requests a second that the server takes from all senders
-	// together; 0 if it named none.
-	limit float64
+	// limited means that the server takes only limit requests a second from all senders
+	// together.
+	limited bool
+	limit   float64
+	// answeredAt is when a response last told whether there is a limit.
+	answeredAt time.Time
+	// pacing spaces this process's requests at its share, which was determined at rateAt.
+	pacing ratelimit.Pacer
+	rateAt time.Time
 	// sent counts the requests that this process sent.
 	sent ratelimit.Counter
 }
--- a/internal/routetable/routetable.go
+++ b/internal/routetable/routetable.go
@@ -4,6 +4,7 @@
 package routetable
 
 import (
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -104,21 +105,25 @@
 	customersByKey    map[string]*Customer
 	customersByName   map[string]*Customer
 	forwardedServices map[string]bool
-	requiresKey       bool
-	limits            Limits
+	// holderServices are those to which items of batch jobs and their reward calls may go.
+	holderServices map[string]bool
+	requiresKey    bool
+	limits         Limits
 }
 
 // New returns the table of a configuration.
 func New(version int64, routes []*Route, services []*Service, customers []*Customer, limits Limits) *Table {
 	t := &Table{
 		version: version, routes: map[string][]*Route{}, services: map[string]*Service{},
-		customersByKey: map[string]*Customer{}, customersByName: map[string]*Customer{}, forwardedServices: map[string]bool{}, requiresKey: len(customers) > 0, limits: limits,
+		customersByKey: map[string]*Customer{}, customersByName: map[string]*Customer{}, forwardedServices: map[string]bool{}, holderServices: map[string]bool{}, requiresKey: len(customers) > 0, limits: limits,
 	}
+	batches := slices.ContainsFunc(routes, func(r *Route) bool { return r.Kind == Rollout })
 	for _, r := range routes {
 		host := strings.ToLower(r.Host)
 		t.routes[host] = append(t.routes[host], r)
 		for _, target := range r.Split {
 			t.forwardedServices[target.Service] = t.forwardedServices[target.Service] || r.Kind != Rollout
+			t.holderServices[target.Service] = t.holderServices[target.Service] || r.Kind == Rollout || batches && r.Kind == Safe
 		}
 	}
 	for _, list := range t.routes {
--- a/internal/routetable/view.go
+++ b/internal/routetable/view.go
@@ -50,6 +50,14 @@
 	return t != nil && t.forwardedServices[service]
 }
 
+// HolderSendsTo reports whether the holder of the scheduler duty may send requests to a
+// service: the items of batch jobs, or their reward calls, which go to services of routes
+// whose requests may be repeated.
+func (v *View) HolderSendsTo(service string) bool {
+	t := v.Table()
+	return t != nil && t.holderServices[service]
+}
+
 // WeightVersions returns the latest version of the weights that trainers published,
 // by model.
 func (v *View) WeightVersions() map[string]int64 {
--- a/internal/scheduler/placement.go
+++ b/internal/scheduler/placement.go
@@ -23,7 +23,11 @@
 	reserved := s.pendingMigrations()
 	for _, snapshot := range p.servers {
 		used := snapshot.Running + reserved[snapshot.Server.ID]
-		p.slots[snapshot.Server.ID] = &engineSlots{free: max(1, snapshot.Server.Slots) - used, running: used}
+		free := max(1, snapshot.Server.Slots) - used
+		if snapshot.Limited {
+			free = min(free, snapshot.Allowed-reserved[snapshot.Server.ID])
+		}
+		p.slots[snapshot.Server.ID] = &engineSlots{free: free, running: used, limited: snapshot.Limited}
 	}
 	return p
 }
--- a/internal/scheduler/policy.go
+++ b/internal/scheduler/policy.go
@@ -60,6 +60,9 @@
 type engineSlots struct {
 	free    int
 	running int
+	// limited means that the engine takes a limited rate of requests, so that a slot
+	// that becomes free does not admit another item.
+	limited bool
 }
 
 // take counts one more running item.
--- a/internal/scheduler/urgency.go
+++ b/internal/scheduler/urgency.go
@@ -106,6 +106,7 @@
 		switch {
 		case t.preempted || t.migratingTo != "":
 			waiting--
+		case p.slots[t.run.server.ID] != nil && p.slots[t.run.server.ID].limited:
 		case t.state == taskRunning && t.urgency != urgencyNeeded && t.preemptions < maxPreemptions && s.remainingTime(t) > minPreemptionGain:
 			victims = append(victims, t)
 		}
--- a/internal/scheduler/weights.go
+++ b/internal/scheduler/weights.go
@@ -33,6 +33,12 @@
 	// loadTimeout is how long an engine that does not report a load in progress may
 	// take to carry out an order before it is ordered again.
 	loadTimeout = 2500 * time.Millisecond
+	// requestsPerLoad is about how many requests a load takes: a report, the order and
+	// two polls.
+	requestsPerLoad = 4
+	// loadRequestShare is the share of an engine's limit that loads may use, so that
+	// items get the rest.
+	loadRequestShare = 0.5
 )
 
 // Report is an engine's description of its state.
@@ -71,6 +77,10 @@
 	// by engine.
 	backoffUntil map[string]time.Time
 	loads        map[string]activeLoad
+	// rates holds the requests a second that this process may send to the engines that
+	// named a limit, and orderedAt when the last load of each engine began.
+	rates     map[string]float64
+	orderedAt map[string]time.Time
 }
 
 // activeLoad is an order in progress. It counts against the limit of concurrent
@@ -85,6 +95,7 @@
 	return &WeightUpdater{
 		Config: s.Config, engineClient: engineClient, fence: fence, stats: s.Stats, avoid: s.Avoid, assigned: map[string]map[string]string{},
 		limiters: map[string]*loadLimiter{}, backoffUntil: map[string]time.Time{}, loads: map[string]activeLoad{},
+		rates: map[string]float64{}, orderedAt: map[string]time.Time{},
 	}
 }
 
@@ -126,8 +137,15 @@
 		id := s.Server.ID
 		servers[id] = s.Server
 		_, busy := u.loads[id]
+		busy = busy || now.Before(u.backoffUntil[id])
+		if s.Limited {
+			u.rates[id] = s.Rate
+			busy = busy || now.Sub(u.orderedAt[id]) < loadInterval(s.Rate)
+		} else {
+			delete(u.rates, id)
+		}
 		engines = append(engines, engineState{
-			id: id, running: s.Running, msPerEvent: current.msPerEvent(id), versions: s.Server.Models, busy: busy || now.Before(u.backoffUntil[id]),
+			id: id, running: s.Running, msPerEvent: current.msPerEvent(id), versions: s.Server.Models, busy: busy,
 		})
 		for model := range s.Server.Models {
 			d := current.demand[model]
@@ -146,6 +164,7 @@
 	u.assigned[service] = assignModels(engines, demand, u.assigned[service])
 	for _, l := range planLoads(engines, demand, u.assigned[service], int(limiter.limit)-u.activeLoads(service, now)) {
 		u.loads[l.engine] = activeLoad{service, now.Add(loadTimeout)}
+		u.orderedAt[l.engine] = now
 		go u.updateEngine(ctx, servers[l.engine], l.model, demand[l.model].newestVersion, limiter)
 	}
 }
@@ -191,7 +210,7 @@
 			u.awaitLoad(ctx, server, model, version, limiter, true)
 			return
 		}
-		if err == nil || ctx.Err() != nil || !u.IsHolder() {
+		if _, limited := u.rate(server.ID); err == nil || limited || ctx.Err() != nil || !u.IsHolder() {
 			break
 		}
 		sleep(ctx, reportAge)
@@ -199,6 +218,34 @@
 	u.backOff(server.ID)
 }
 
+// loadInterval returns the least time between two loads of an engine that takes rate
+// requests a second from this process.
+func loadInterval(rate float64) time.Duration {
+	return time.Duration(requestsPerLoad / loadRequestShare * float64(requestInterval(rate)))
+}
+
+// requestInterval returns the time between two requests at a rate in requests a second.
+func requestInterval(rate float64) time.Duration {
+	return min(loadTimeout, time.Duration(float64(time.Second)/rate))
+}
+
+// rate returns the requests a second that this process may send to an engine, and whether
+// there is a limit.
+func (u *WeightUpdater) rate(server string) (float64, bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	rate, limited := u.rates[server]
+	return rate, limited
+}
+
+// pollInterval returns the time between two polls of a loading engine.
+func (u *WeightUpdater) pollInterval(server string) time.Duration {
+	if rate, limited := u.rate(server); limited {
+		return max(loadPollInterval, requestInterval(rate))
+	}
+	return loadPollInterval
+}
+
 // backOff withholds orders from an engine for engineRetryDelay.
 func (u *WeightUpdater) backOff(server string) {
 	u.mu.Lock()
@@ -251,7 +298,7 @@
 		atOnce = 0
 	}
 	sleep(ctx, wait)
-	for ; time.Now().Before(until) && ctx.Err() == nil; sleep(ctx, loadPollInterval) {
+	for ; time.Now().Before(until) && ctx.Err() == nil; sleep(ctx, u.pollInterval(server.ID)) {
 		report, err := u.report(ctx, server.Address)
 		switch {
 		case err != nil:
