Requests that waited through a pause of the process wait again

Cause: a process that was frozen while requests waited for their turns at servers with a limit would send them all when it wakes. Found by reading; no run shows it.

--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -42,6 +42,9 @@
 	minAttemptTimeout = 250 * time.Millisecond
 	// responseMargin is reserved before the deadline for sending an error response.
 	responseMargin = 10 * time.Millisecond
+	// maxTurnDelay is how late a request that waited for its turn at a server with a limit
+	// may be sent. After a pause of the process, many would be sent at once.
+	maxTurnDelay = 200 * time.Millisecond
 	// streamBufferBytes is the size of the copy buffer of a forwarded stream.
 	streamBufferBytes = 4096
 )
@@ -165,8 +168,9 @@
 			return nil, false
 		}
 		s.Metrics.Observe("limit_wait", wait)
+		turn := time.Now().Add(wait)
 		kv.Sleep(ctx, wait)
-		if ctx.Err() == nil && handle.Usable() {
+		if ctx.Err() == nil && handle.Usable() && time.Since(turn) < maxTurnDelay {
 			return handle, true
 		}
 		handle.Release(pool.Abandoned)
