Log the software version of each run and of the events that it goes on from

The registration's software version is read, logged with each placement, and resumed runs are counted by whether it is the same. No change of logic.

--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -160,7 +160,7 @@
 	s, ok := p.servers[item.Key]
 	if !ok || s.server.Born != server.Born || s.server.Address != server.Address || s.server.Service != server.Service {
 		p.log.Info("pool: server added", zap.String("server", server.ID), zap.String("service", server.Service),
-			zap.String("address", server.Address), zap.Int64("born", server.Born))
+			zap.String("address", server.Address), zap.Int64("born", server.Born), zap.String("software", server.Software))
 		s = &serverState{}
 		p.servers[item.Key] = s
 		s.server = server
--- a/internal/pool/server.go
+++ b/internal/pool/server.go
@@ -19,6 +19,9 @@
 	// Spot marks a server on spot capacity. It costs less and may be reclaimed
 	// together with all other spot servers of its failure domain.
 	Spot bool
+	// Software is the version of the server's software. What one version began to write,
+	// no other can go on with.
+	Software string
 	// Models maps each model to the version of its loaded weights.
 	Models map[string]int64
 	// Born is the start time of the server process in Unix milliseconds.
--- a/internal/scheduler/dispatch.go
+++ b/internal/scheduler/dispatch.go
@@ -161,8 +161,9 @@
 		t.run.priority--
 	}
 	s.Log.Info("item: placed", zap.String("id", t.item.ID), zap.String("job", t.job.spec.ID), zap.String("server", handle.Server().ID),
-		zap.Int64("version", handle.Server().Models[t.job.spec.Model]), zap.Int("events", t.output.events), zap.Int("hint", t.expectedTokens),
+		zap.Int64("version", handle.Server().Models[t.job.spec.Model]), zap.String("software", handle.Server().Software), zap.String("begun-at", t.output.software), zap.Int("events", t.output.events), zap.Int("hint", t.expectedTokens),
 		zap.Bool("carried", t.carried), zap.Duration("until-due", time.Until(t.job.due)))
+	s.countResumption(t.output, handle.Server())
 	r := t.run
 	go func() {
 		o := r.execute(ctx)
@@ -171,6 +172,20 @@
 	}()
 }
 
+// countResumption counts runs that go on with an output, by whether the software version
+// is the one that began it.
+func (s *Scheduler) countResumption(o *output, server pool.Server) {
+	switch {
+	case o.events == 0:
+	case o.software == "":
+		s.Metrics.Inc("resumed_runs_total", "software", "unknown")
+	case o.software == server.Software:
+		s.Metrics.Inc("resumed_runs_total", "software", "same")
+	default:
+		s.Metrics.Inc("resumed_runs_total", "software", "other")
+	}
+}
+
 // handleRunEnd updates a task and the state of its engine after a run.
 func (s *Scheduler) handleRunEnd(t *task, r *run, handle *pool.Handle, o outcome) {
 	e := s.latencies.get(handle.Server().ID)
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -46,6 +46,9 @@
 	versions []int64
 	// version is the weight version of the last event.
 	version int64
+	// software is the software version of the server that generated the last event;
+	// empty if there is none or it is not known.
+	software string
 }
 
 // addVersion sets the current weight version and lists it if it is new.
@@ -271,6 +274,7 @@
 			}
 			r.mu.Lock()
 			r.output.addEvent(version, data)
+			r.output.software = r.server.Software
 			r.mu.Unlock()
 			r.recordEvent(time.Now().UnixNano())
 			watchdog.Reset(r.eventTimeout)
