Items go on only at engines of the software version that began them

Cause: an output did not carry the software version that wrote it, so a run went on wherever a slot was free: after a broken stream, a move, a preemption, a change of the holder (checkpoints) and in a later job (retained outputs). Change: outputs, checkpoints and retained outputs name the version; placement and moves keep to it. An item starts over if no engine of the version accepts requests, or if it has waited for one longer than its part takes to generate again while another one is free. A checkpoint without a version, written by an older release, starts over.

--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -130,6 +130,8 @@
 	Versions []int64
 	// LastVersion is the weight version that generated the last event.
 	LastVersion int64
+	// Software is the software version of the server that generated the text.
+	Software string
 }
 
 type wirePartial struct {
@@ -137,10 +139,11 @@
 	Events   int     `json:"events"`
 	Versions []int64 `json:"versions"`
 	Version  int64   `json:"version"`
+	Software string  `json:"software"`
 }
 
 func encodePartial(p PartialResult) []byte {
-	return mustJSON(wirePartial{string(p.Text), p.Events, p.Versions, p.LastVersion})
+	return mustJSON(wirePartial{string(p.Text), p.Events, p.Versions, p.LastVersion, p.Software})
 }
 
 func decodePartial(item string, data []byte) (PartialResult, error) {
@@ -148,7 +151,7 @@
 	if err := json.Unmarshal(data, &w); err != nil {
 		return PartialResult{}, Class.Wrap(err)
 	}
-	return PartialResult{item, []byte(w.Text), w.Events, w.Versions, w.Version}, nil
+	return PartialResult{item, []byte(w.Text), w.Events, w.Versions, w.Version, w.Software}, nil
 }
 
 // Record is the metadata of an accepted job, stored apart from its
--- a/internal/scheduler/checkpoint.go
+++ b/internal/scheduler/checkpoint.go
@@ -66,6 +66,7 @@
 			size += len(snapshot.data)
 			writes[id] = append(writes[id], batch.PartialResult{
 				Item: t.item.ID, Text: snapshot.data, Events: snapshot.events, Versions: snapshot.versions, LastVersion: snapshot.version,
+				Software: snapshot.software,
 			})
 		}
 	}
--- a/internal/scheduler/dispatch.go
+++ b/internal/scheduler/dispatch.go
@@ -20,6 +20,7 @@
 		return
 	}
 	s.updateUrgency(now)
+	software := softwareCache{}
 	byService := map[string][]queuedItem{}
 	tasks := make([]*task, 0, s.unfinishedItems())
 	running := map[string][]*task{}
@@ -37,9 +38,13 @@
 				running[service] = append(running[service], t)
 				continue
 			}
+			if t.output.events > 0 && software.lacks(s.Pool, service, t.output.software) {
+				s.startOver(t, "version-gone", now)
+			}
 			byService[service] = append(byService[service], queuedItem{
 				index: len(tasks), priority: j.priority, due: j.due, carried: t.carried, expected: s.remainingTime(t),
 				urgency: t.urgency, groupWork: t.groupWork, minVersion: j.spec.MinVersion,
+				resumes: t.output.events > 0, software: t.output.software,
 			})
 			tasks = append(tasks, t)
 		}
@@ -104,7 +109,7 @@
 			continue
 		}
 		targets := p.targets(t.job.spec.Model)
-		i, ok := fasterTarget(msPerEvent, events, t.run.server.ID, t.job.spec.MinVersion, targets)
+		i, ok := fasterTarget(msPerEvent, events, t.run.server, t.job.spec.MinVersion, targets)
 		if !ok {
 			continue
 		}
@@ -124,7 +129,13 @@
 	}
 	sortQueue(queued)
 	for _, next := range queued {
-		for _, a := range assign([]queuedItem{next}, p.targets(tasks[next.index].job.spec.Model)) {
+		t := tasks[next.index]
+		targets := p.targets(t.job.spec.Model)
+		if next.resumes && givesUpOutput(next, t.output.events, p.now.Sub(t.queuedAt), s.latencies.average(), targets) {
+			s.startOver(t, "waited", p.now)
+			next.resumes = false
+		}
+		for _, a := range assign([]queuedItem{next}, targets) {
 			s.startRun(tasks[a.index], a.server)
 		}
 	}
@@ -149,6 +160,11 @@
 	if !ok {
 		return
 	}
+	if t.output.events > 0 && t.output.software != handle.Server().Software {
+		s.Log.Warn("item: not resumed at an engine of another software version", zap.String("id", t.item.ID), zap.String("server", server))
+		handle.Release(pool.Abandoned)
+		return
+	}
 	ctx, cancel := context.WithCancel(s.ctx)
 	t.state = taskRunning
 	t.cancel = cancel
@@ -192,6 +208,7 @@
 	now := time.Now()
 	s.Metrics.Inc("runs_total", "outcome", o.String())
 	t.state = taskQueued
+	t.queuedAt = now
 	t.run = nil
 	destination := t.migratingTo
 	t.migratingTo = ""
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -132,7 +132,7 @@
 	}
 	for _, t := range j.tasks {
 		if partial, ok := partials[t.item.ID]; ok && partial.Events > t.output.events {
-			t.output = &output{data: partial.Text, events: partial.Events, versions: partial.Versions, version: partial.LastVersion}
+			t.output = &output{data: partial.Text, events: partial.Events, versions: partial.Versions, version: partial.LastVersion, software: partial.Software}
 			t.checkpointedEvents = partial.Events
 		}
 	}
@@ -150,7 +150,7 @@
 // newTask returns the task of an item. It resumes the output retained from an
 // ended job if the weight versions behind it are acceptable to the new job.
 func (s *Scheduler) newTask(j *job, item *batch.Item) *task {
-	t := &task{job: j, item: item, output: &output{}, expectedTokens: s.expectedTokens(item)}
+	t := &task{job: j, item: item, queuedAt: time.Now(), output: &output{}, expectedTokens: s.expectedTokens(item)}
 	retained, ok := s.retained[item.ID]
 	if !ok || retained.path != item.Path || time.Now().After(retained.expiresAt) {
 		return t
--- a/internal/scheduler/policy.go
+++ b/internal/scheduler/policy.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"cactusspoke/internal/pool"
 )
 
 const (
@@ -53,6 +55,15 @@
 	groupWork time.Duration
 	// minVersion is the oldest acceptable weight version.
 	minVersion int64
+	// resumes means that the item goes on with a part of its output, which only engines
+	// of the software version that began it can do.
+	resumes  bool
+	software string
+}
+
+// runsOn reports whether the item may run on an engine.
+func (q queuedItem) runsOn(t target) bool {
+	return t.version >= q.minVersion && (!q.resumes || t.software == q.software)
 }
 
 // engineSlots counts the items on an engine during one pass of the scheduler. The
@@ -77,6 +88,8 @@
 	slots *engineSlots
 	// version is the loaded weight version of the item's model.
 	version int64
+	// software is the version of the engine's software.
+	software string
 	// msPerEvent is the expected latency per event in milliseconds.
 	msPerEvent float64
 }
@@ -118,7 +131,7 @@
 		best := -1
 		score := 0.0
 		for i, p := range targets {
-			if p.slots.free <= 0 || p.version < t.minVersion {
+			if p.slots.free <= 0 || !t.runsOn(p) {
 				continue
 			}
 			expected := p.msPerEvent * (1 + batchSlowdown*float64(p.slots.running))
@@ -156,14 +169,14 @@
 
 // fasterTarget returns the index of the best target on which a running output
 // would be generated sufficiently faster to justify migration.
-func fasterTarget(msPerEvent float64, events int, current string, minVersion int64, targets []target) (int, bool) {
+func fasterTarget(msPerEvent float64, events int, current pool.Server, minVersion int64, targets []target) (int, bool) {
 	best := -1
 	score := msPerEvent / longMigrationRatio
 	if events < longOutputEvents {
 		score = msPerEvent / shortMigrationRatio
 	}
 	for i, p := range targets {
-		if p.id == current || p.slots.free <= 0 || p.version < minVersion {
+		if p.id == current.ID || p.software != current.Software || p.slots.free <= 0 || p.version < minVersion {
 			continue
 		}
 		if expected := p.msPerEvent * (1 + batchSlowdown*float64(p.slots.running)); expected < score {
--- a/internal/scheduler/policy_test.go
+++ b/internal/scheduler/policy_test.go
@@ -6,6 +6,8 @@
 
 	"cactusspoke/internal/routetable"
 
+	"cactusspoke/internal/pool"
+
 	"github.com/stretchr/testify/require"
 )
 
@@ -103,6 +105,12 @@
 			[]target{{id: "old", slots: &engineSlots{free: 8}, msPerEvent: 36, version: 2}, {id: "new", slots: &engineSlots{free: 8}, msPerEvent: 36, version: 3}},
 			[]assignment{{0, "new"}},
 		},
+		{
+			"an output goes on only at the software version that began it",
+			[]queuedItem{{index: 0, resumes: true, software: "v1"}, {index: 1, resumes: true, software: "v3"}},
+			[]target{{id: "fast", software: "v2", slots: &engineSlots{free: 8}, msPerEvent: 10}, {id: "slow", software: "v1", slots: &engineSlots{free: 8}, msPerEvent: 36}},
+			[]assignment{{0, "slow"}},
+		},
 		{"no free slot", []queuedItem{{index: 0}}, []target{{id: "a", slots: &engineSlots{free: 0}, msPerEvent: 36}}, nil},
 	}
 	for _, tt := range tests {
@@ -115,23 +123,25 @@
 // TestFasterTarget checks which runs migrate when an engine turns slow during
 // the long outputs that a step waits for.
 func TestFasterTarget(t *testing.T) {
-	fast := target{id: "fast", slots: &engineSlots{free: 1}, msPerEvent: 36, version: 3}
+	slow := pool.Server{ID: "slow", Software: "v1"}
+	fast := target{id: "fast", software: "v1", slots: &engineSlots{free: 1}, msPerEvent: 36, version: 3}
 	tests := []struct {
 		name       string
 		msPerEvent float64
 		events     int
-		at         string
+		at         pool.Server
 		minVersion int64
 		target     target
 		migrates   bool
 	}{
-		{"a long output leaves a slow engine", 48, longOutputEvents, "slow", 3, fast, true},
-		{"a short one stays", 48, longOutputEvents - 1, "slow", 3, fast, false},
-		{"a short one leaves a very slow engine", 150, 5, "slow", 3, fast, true},
-		{"no migration for a small gain", 40, 100, "slow", 3, fast, false},
-		{"no migration to outdated weights", 150, 100, "slow", 4, fast, false},
-		{"no migration to the same engine", 150, 100, "fast", 3, fast, false},
-		{"no migration to a full engine", 150, 100, "slow", 3, target{id: "fast", slots: &engineSlots{}, msPerEvent: 36, version: 3}, false},
+		{"a long output leaves a slow engine", 48, longOutputEvents, slow, 3, fast, true},
+		{"a short one stays", 48, longOutputEvents - 1, slow, 3, fast, false},
+		{"a short one leaves a very slow engine", 150, 5, slow, 3, fast, true},
+		{"no migration for a small gain", 40, 100, slow, 3, fast, false},
+		{"no migration to outdated weights", 150, 100, slow, 4, fast, false},
+		{"no migration to the same engine", 150, 100, pool.Server{ID: "fast", Software: "v1"}, 3, fast, false},
+		{"no migration to another software version", 150, 100, pool.Server{ID: "slow", Software: "v2"}, 3, fast, false},
+		{"no migration to a full engine", 150, 100, slow, 3, target{id: "fast", software: "v1", slots: &engineSlots{}, msPerEvent: 36, version: 3}, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -104,6 +104,8 @@
 	// carried means that an earlier job produced output of the item.
 	carried  bool
 	complete bool
+	// queuedAt is when the item last began to wait for an engine.
+	queuedAt time.Time
 	// completedAt is when this scheduler had the complete output.
 	completedAt time.Time
 	// migratingTo is the faster engine on which a canceled run is to be resumed.
