A failing test: callers' streams go on at another software version

What callers saw: streams that they took up again were answered 200 and joined from two versions. Test: twelve streams, two engines of each version; they are taken up at the same or another entry instance, after all instances restarted, after the old version left.

--- a/internal/node/software_test.go
+++ b/internal/node/software_test.go
@@ -146,3 +146,127 @@
 		item["GroupId"] = "g" + strconv.Itoa(i)
 	})
 }
+
+// stream is a caller's stream across its tries.
+type stream struct {
+	id     string
+	events int
+}
+
+// beginStream sends a request for a stream whose server breaks it off.
+func (c *cluster) beginStream(p *process, id string) stream {
+	a := c.send(p, http.MethodPost, "/stream/x", id, key, nil, map[string]string{"X-Model": model})
+	return stream{id, strings.Count(a.body, "\n\n")}
+}
+
+// takeUp resumes a stream and returns the status.
+func (c *cluster) takeUp(p *process, s stream) int {
+	a := c.send(p, http.MethodPost, "/stream/x", s.id+"-2", key, nil, map[string]string{
+		"X-Model": model, platform.Headers().LastEventID: strconv.Itoa(s.events), platform.Headers().Resumes: s.id,
+	})
+	return a.status
+}
+
+// softwareOf returns the software version that ran a request; empty if none did.
+func (c *cluster) softwareOf(id string) string {
+	for _, w := range c.engines {
+		for _, r := range w.Requests() {
+			if r.ID == id {
+				return r.Software
+			}
+		}
+	}
+	return ""
+}
+
+// TestStreamTakenUpAtOtherSoftware guards against streams whose callers take them up and
+// which go on at another software version.
+func TestStreamTakenUpAtOtherSoftware(t *testing.T) {
+	t.Parallel()
+	const streams = 12
+	restartEntries := func(c *cluster) {
+		time.Sleep(500 * time.Millisecond)
+		for _, p := range c.entries {
+			p.stop()
+		}
+		for i, p := range c.entries {
+			<-p.done
+			c.entries[i] = c.start(p.settings.Name, p.storeListener, true)
+		}
+		c.waitReady()
+	}
+	removeOld := func(c *cluster) {
+		for _, w := range c.engines[:2] {
+			c.store.Remove(platform.ServersPrefix + w.ID)
+		}
+		time.Sleep(2 * time.Second)
+	}
+	tests := []struct {
+		name string
+		// newer is the software version of half of the engines.
+		newer   string
+		disturb func(c *cluster)
+		// via is the entry instance at which streams are taken up.
+		via int
+		// oldGone means that streams of the old version cannot go on.
+		oldGone bool
+	}{
+		{"at the same instance", newerSoftware, func(*cluster) {}, 0, false},
+		{"at another instance", newerSoftware, func(*cluster) { time.Sleep(500 * time.Millisecond) }, 1, false},
+		{"after all instances restarted", newerSoftware, restartEntries, 1, false},
+		{"one version, after all instances restarted", standin.DefaultSoftware, restartEntries, 1, false},
+		{"the old version left", newerSoftware, removeOld, 0, true},
+		{"the old version left and all instances restarted", newerSoftware, func(c *cluster) {
+			removeOld(c)
+			restartEntries(c)
+		}, 1, true},
+		{"a newer version came after the streams began, then all instances restarted", standin.DefaultSoftware, func(c *cluster) {
+			for _, w := range c.engines[2:] {
+				w.SetSoftware(newerSoftware, zone)
+			}
+			time.Sleep(2 * time.Second)
+			restartEntries(c)
+		}, 1, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t, 2, 1)
+			c.addEngine(tt.newer)
+			c.addEngine(tt.newer)
+			c.putConfig(1, routeOverrides{"stream": {"Resumable": true, "MaxAttempts": 3}})
+			c.waitReady()
+			time.Sleep(time.Second) // all four engines are listed
+			var begun []stream
+			for n := range streams {
+				for _, w := range c.engines {
+					w.TruncateStreamAfter(2)
+				}
+				begun = append(begun, c.beginStream(c.entries[0], fmt.Sprintf("s-%d", n)))
+				require.Equal(t, 2, begun[n].events)
+			}
+			for _, w := range c.engines {
+				w.TruncateStreamAfter(0)
+			}
+			tt.disturb(c)
+			left := 0
+			wentOn := 0
+			for _, s := range begun {
+				old := c.softwareOf(s.id)
+				if !tt.oldGone || old == newerSoftware {
+					left++
+				}
+				status := c.takeUp(c.entries[tt.via], s)
+				second := c.softwareOf(s.id + "-2")
+				if status == http.StatusOK {
+					wentOn++
+					require.Equal(t, old, second, "%s went on at another software version", s.id)
+					continue
+				}
+				require.Equal(t, http.StatusServiceUnavailable, status)
+				require.Empty(t, second, "a refused request ran")
+			}
+			require.GreaterOrEqual(t, wentOn, (left+1)/2, "streams that could go on")
+		})
+	}
+}
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -36,6 +36,9 @@
 	LengthHint string
 	// LastEventID is the ID of the event after which a stream resumes.
 	LastEventID string
+	// Resumes is the request ID of the caller's attempt that brought the first event of the
+	// stream that a request resumes.
+	Resumes string
 	// WaitMS is the maximum time, in milliseconds, that the server may delay
 	// the response to a long-polling read.
 	WaitMS string
