Callers' streams go on only at the software version that began them

Cause: nothing remembered which version began a stream; a resumed request was placed like any other. An instance's memory alone would not do, since all instances may lose power. Ruled out: deciding by the servers present, as the old version may just have left; a record for each stream before its first event (4 ms each, and more writes than the store takes at the target size). Change: streamorigin.Decide, a pure decision, from the record of the stream, the versions that served within two minutes and those that accept requests now. Instances remember the streams that began at them and write the origins to the store only while two versions may have begun one, in groups, under leases. The holder publishes which versions served when, so that restarted instances know. A stream that cannot go on is refused at once (503): it has not run; Retry-After only where the store could not be read. The published server list follows a changed software version, which one run of the new test under the race detector showed missing.

--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -16,6 +16,7 @@
 	"cactusspoke/internal/poison"
 	"cactusspoke/internal/pool"
 	"cactusspoke/internal/routetable"
+	"cactusspoke/internal/streamorigin"
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
@@ -107,7 +108,13 @@
 		s.respondError(c, r, http.StatusServiceUnavailable, 0, "request crashed several servers")
 		return
 	}
+	if !s.findOrigin(ctx, c, r) {
+		return
+	}
 	service := r.route.PickService(rand.Float64())
+	if r.resumesAt != nil {
+		service = r.resumesAt.Service
+	}
 	state := &forwardState{triedServers: map[string]bool{}}
 	for ctx.Err() == nil && state.failures < r.route.MaxAttempts && state.rejections < r.route.MaxAttempts+maxExtraRejections {
 		handle, ok := s.acquire(ctx, r, state, service)
@@ -151,7 +158,9 @@
 // up, it waits for the next request that one of them takes, unless the request could not
 // be served in time then.
 func (s *Server) acquire(ctx context.Context, r *callerRequest, state *forwardState, service string) (*pool.Handle, bool) {
-	untried := func(server pool.Server) bool { return !state.triedServers[server.ID] }
+	untried := func(server pool.Server) bool {
+		return !state.triedServers[server.ID] && (r.resumesAt == nil || server.Software == r.resumesAt.Software)
+	}
 	latestStart := r.deadline.Add(-max(responseMargin, r.route.LatencyObjective))
 	for ctx.Err() == nil {
 		handle, ok := s.Pool.Acquire(service, s.FailureDomain, func(server pool.Server, _ int) bool { return untried(server) })
@@ -234,6 +243,9 @@
 		return attemptFailed
 	}
 	if r.route.Kind == routetable.Streaming && response.Status() == http.StatusOK {
+		if r.route.Resumable && r.resumesAt == nil {
+			s.Streams.Begin(r.id, streamorigin.Origin{Service: server.Service, Software: server.Software}, r.route.Services())
+		}
 		return s.forwardStream(ctx, c, r, handle, response)
 	}
 	return s.forwardBuffered(ctx, c, r, state, handle, response)
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -19,6 +19,7 @@
 	"cactusspoke/internal/pool"
 	"cactusspoke/internal/protocol"
 	"cactusspoke/internal/routetable"
+	"cactusspoke/internal/streamorigin"
 	"cactusspoke/internal/telemetry"
 	"cactusspoke/internal/walltime"
 
@@ -62,6 +63,7 @@
 	Clock          *walltime.Clock
 	Meter          *meter.Meter
 	Poison         *poison.Tracker
+	Streams        *streamorigin.Records
 	Metrics        *telemetry.Registry
 	Log            *zap.Logger
 	// Address is the host and port at which callers reach this instance.
@@ -135,6 +137,9 @@
 	route      *routetable.Route
 	customer   string
 	deadline   time.Time
+	// resumesAt is the origin of the stream that the request resumes; nil if it resumes
+	// none.
+	resumesAt *streamorigin.Origin
 }
 
 // Serve handles a caller's request.
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -15,6 +15,7 @@
 	"cactusspoke/internal/protocol"
 	"cactusspoke/internal/ratelimit"
 	"cactusspoke/internal/routetable"
+	"cactusspoke/internal/streamorigin"
 	"cactusspoke/internal/telemetry"
 	"cactusspoke/internal/walltime"
 	"cactusspoke/internal/web"
@@ -106,10 +107,13 @@
 	poisonTracker := poison.New(store, e.log)
 	clock := walltime.New()
 	usageMeter := meter.New(store, incarnation(s.Name), s.UsageWindow, entryDirectory.Size, clock, e.log)
+	streams := streamorigin.NewRecords(store, func(services []string) map[string][]string {
+		return serverPool.SoftwareSeen(services, streamorigin.Retention)
+	}, entryDirectory.Size, e.log)
 	frontServer := ingress.New(ingress.Config{
 		Headers: e.adapter.Headers, Paths: e.adapter.Paths, Codec: e.adapter.Codec,
 		View: view, Pool: serverPool, Backends: backends, Jobs: batch.NewJobStore(store, s.MaxValueBytes),
-		StoreReachable: store.Reachable, Directory: entryDirectory, Clock: clock, Meter: usageMeter, Poison: poisonTracker, Metrics: e.metrics, Log: e.log,
+		StoreReachable: store.Reachable, Directory: entryDirectory, Clock: clock, Meter: usageMeter, Poison: poisonTracker, Streams: streams, Metrics: e.metrics, Log: e.log,
 		MaxBufferedBytes: int64(bufferedShare * float64(s.MemoryBytes)),
 		Address:          s.FrontAddress, FailureDomain: s.FailureDomain, MaxAddressTTL: s.MaxAddressTTL,
 	})
@@ -117,7 +121,8 @@
 		return kv.NewFollower(store, e.adapter.ServersPrefix, entryServersWatchInterval, view, e.log).Run(ctx)
 	}, e.log)
 	entryViews := kv.NewMux().Add(directory.Prefix, entryDirectory).Add(poison.Prefix, poisonTracker).
-		Add(pool.ServerListKey, serverSubscriber).Add(directory.Prefix, members).Add(pool.LimitListKey, serverPool.LimitView())
+		Add(pool.ServerListKey, serverSubscriber).Add(directory.Prefix, members).Add(pool.LimitListKey, serverPool.LimitView()).
+		Add(pool.SoftwareListKey, serverPool.SoftwareView())
 	components := newComponentGroup(workCtx, e.log)
 	replicas := e.newReplicas(store, entryDirectory, view, entryViews)
 	components.start("replica", replicas.follower.Run)
@@ -137,6 +142,7 @@
 		pollUntil(registrationCtx, func() bool { return view.Table() != nil })
 		return directory.NewRegistration(store, s.Name, s.FrontAddress, s.FailureDomain, replicas.follower.Direct, e.log).Run(registrationCtx)
 	})
+	components.start("streams", streams.Run)
 	usageCtx, stopUsage := context.WithCancel(context.Background())
 	defer stopUsage()
 	usageDone := components.startIn(usageCtx, "usage", usageMeter.Run)
--- a/internal/node/scheduler.go
+++ b/internal/node/scheduler.go
@@ -148,6 +148,7 @@
 	components.start("entries", kv.NewFollower(store, directory.Prefix, entryWatchInterval, members, n.log).Run)
 	components.start("limit-counts", serverPool.LogLimits)
 	components.start("limits", limits.Run)
+	components.start("software", pool.NewSoftwarePublisher(store, fence, serverPool, view.ForwardsTo, n.log).Run)
 	components.start("versions", kv.NewFollower(store, n.adapter.Decoder.VersionPrefix, 0, view, n.log).Run)
 	schedulerDone := components.startIn(ctx, "items", sched.Run)
 	components.start("jobs", kv.NewFollower(store, batch.JobPrefix, 0, sched.JobView(), n.log).Run)
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -70,12 +70,17 @@
 	share          ShareFunc
 	// seeds are the limits that another process published, by the id of the server.
 	seeds map[string]PublishedLimit
+	// software holds the software versions that were registered lately. historyKnown
+	// means that it includes those before startedAt.
+	software     sightings
+	historyKnown bool
+	startedAt    time.Time
 }
 
 // New returns an empty pool. onChange is called without locks held after
 // servers were added, removed or updated.
 func New(decode DecodeFunc, log *zap.Logger, onChange func()) *Pool {
-	return &Pool{decode: decode, log: log, servers: map[string]*serverState{}, onChange: onChange}
+	return &Pool{decode: decode, log: log, servers: map[string]*serverState{}, onChange: onChange, software: sightings{}, startedAt: time.Now()}
 }
 
 // Reset replaces the registrations by a complete list.
@@ -138,6 +143,9 @@
 			h = (h ^ uint64(b)) * fnvPrime64
 		}
 		h ^= uint64(s.server.Born)
+		for _, b := range []byte(s.server.Software) {
+			h = (h ^ uint64(b)) * fnvPrime64
+		}
 		if s.server.Draining {
 			h *= 31
 		}
@@ -171,6 +179,7 @@
 	}
 	s.server = server
 	s.missingSince = time.Time{}
+	p.software.see(server.Service, server.Software, time.Now())
 }
 
 // removeMissing removes servers whose registration is gone. Servers that
@@ -186,6 +195,7 @@
 			continue
 		}
 		p.log.Info("pool: server removed", zap.String("server", s.server.ID))
+		p.software.see(s.server.Service, s.server.Software, now)
 		delete(p.servers, key)
 	}
 }
--- a/internal/pool/serverlist.go
+++ b/internal/pool/serverlist.go
@@ -85,7 +85,7 @@
 			continue // the pool logs invalid registrations
 		}
 		old := p.servers[e.Key]
-		if old.Address != server.Address || old.Service != server.Service || old.Draining != server.Draining || old.Born != server.Born {
+		if old.Address != server.Address || old.Service != server.Service || old.Draining != server.Draining || old.Born != server.Born || old.Software != server.Software {
 			p.changed = p.changed || p.include(server.Service)
 		}
 		p.entries[e.Key] = e.Value
--- a/internal/routetable/routetable.go
+++ b/internal/routetable/routetable.go
@@ -193,6 +193,17 @@
 	return out
 }
 
+// Services returns the services that get requests of the route.
+func (r *Route) Services() []string {
+	var out []string
+	for _, s := range r.Split {
+		if s.Weight > 0 {
+			out = append(out, s.Service)
+		}
+	}
+	return out
+}
+
 // PickService selects a service of the route by weight, for a random number in [0, 1).
 func (r *Route) PickService(random float64) string {
 	total := 0
