--- a/internal/node/job_test.go
+++ b/internal/node/job_test.go
@@ -260,3 +260,32 @@
 	}
 	require.True(t, resumed, "the long completion was not resumed")
 }
+
+// TestItemUnderCrashesIsPlacedAgain guards against items that are never placed again after
+// several engines crashed while they ran them.
+func TestItemUnderCrashesIsPlacedAgain(t *testing.T) {
+	t.Parallel()
+	const crashes = 6
+	c := newCluster(t, 1, 2)
+	c.putConfig(1, nil)
+	c.waitReady()
+	breakOff := func() {
+		for _, w := range c.engines {
+			w.TruncateStreamAfter(1)
+		}
+	}
+	breakOff()
+	require.Equal(t, http.StatusAccepted, c.send(c.entries[0], http.MethodPost, "/jobs/j", "j", key, jobBody("j", 1, 1, nil), nil).status)
+	c.eventually(func() bool {
+		if c.runsOf(itemID("j", 0)) >= crashes {
+			return true
+		}
+		breakOff()
+		return false
+	})
+	for _, w := range c.engines {
+		w.TruncateStreamAfter(0)
+	}
+	c.dutyHolder().stop() // the next holder owes the item, too
+	requireCompleteResults(t, "j", 1, 5, c.waitForResults(c.entries[0], "j"))
+}
--- a/internal/replay/day.go
+++ b/internal/replay/day.go
@@ -14,6 +14,8 @@
 	Seconds []Second
 	Steps   []Step
 	Holders []Holder
+	Limited []LimitedServer
+	Resumed Resumptions
 }
 
 // CallCount is the number of calls to the store that the processes of a role made
@@ -89,7 +91,10 @@
 // Summarize returns the summary of log lines, which must be sorted by time.
 func Summarize(lines []Line) Day {
 	start := lines[0].At
-	return Day{Calls: countCalls(lines), Seconds: countSeconds(lines, start), Steps: summarizeSteps(lines, start), Holders: findHolders(lines, start)}
+	return Day{
+		Calls: countCalls(lines), Seconds: countSeconds(lines, start), Steps: summarizeSteps(lines, start), Holders: findHolders(lines, start),
+		Limited: summarizeLimits(lines), Resumed: countResumptions(lines),
+	}
 }
 
 func countCalls(lines []Line) []CallCount {
--- a/internal/replay/render.go
+++ b/internal/replay/render.go
@@ -17,6 +17,8 @@
 	d.writeSteps(t)
 	d.writeSeconds(t)
 	d.writeHolders(t)
+	d.writeLimits(t)
+	d.writeResumptions(t)
 	return Class.Wrap(t.Flush())
 }
 
