Engines with a limit count for the slots that items can keep in use

Cause (LIMIT): the selection of groups that can be in time counted all slots of an engine that takes one request a second, so steps were begun that could not end in time. Ruled out: the halves of holder and entry instances; the holder used all of its half. Change: by Little's law, the rate times the mean duration of an item.

--- a/internal/scheduler/urgency.go
+++ b/internal/scheduler/urgency.go
@@ -2,9 +2,12 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
+	"cactusspoke/internal/pool"
+
 	"go.uber.org/zap"
 )
 
@@ -32,7 +35,8 @@
 	s.selectedAt = now
 	var groups []pendingGroup
 	indexes := map[groupKey]int{}
-	jobs := 0
+	jobs, items := 0, 0
+	var work time.Duration
 	for id, j := range s.jobs {
 		jobs++
 		for _, t := range j.tasks {
@@ -47,12 +51,14 @@
 				groups = append(groups, pendingGroup{model: j.spec.Model, priority: j.priority, due: j.due, job: jobs, needed: j.groups.needed()})
 			}
 			rest := s.remainingTime(t)
+			items++
+			work += rest
 			groups[i].work += rest
 			groups[i].longest = max(groups[i].longest, rest)
 			groups[i].carried = groups[i].carried || t.carried
 		}
 	}
-	urgencies := selectGroups(now, groups, s.slots(), s.onTimeShare)
+	urgencies := selectGroups(now, groups, s.slots(work/time.Duration(max(1, items))), s.onTimeShare)
 	for id, j := range s.jobs {
 		for _, t := range j.tasks {
 			if i, ok := indexes[groupKey{id, t.item.Group}]; ok {
@@ -62,18 +68,30 @@
 	}
 }
 
-// slots returns the number of slots of all engines.
-func (s *Scheduler) slots() int {
+// slots returns the number of slots of all engines that items of a mean duration can keep
+// in use.
+func (s *Scheduler) slots(mean time.Duration) int {
 	table := s.View.Table()
-	total := 0
+	total := 0.0
 	for name := range table.Services() {
 		for _, server := range s.Pool.Servers(name) {
 			if len(server.Server.Models) > 0 && !server.Server.Draining && !server.Ejected {
-				total += max(1, server.Server.Slots)
+				total += usableSlots(server, mean)
 			}
 		}
 	}
-	return total
+	return int(math.Ceil(total))
+}
+
+// usableSlots returns how many slots of an engine items of a mean duration can keep in
+// use: by Little's law, an engine that takes a limited rate of requests runs as many as
+// begin during one.
+func usableSlots(server pool.Snapshot, mean time.Duration) float64 {
+	slots := float64(max(1, server.Server.Slots))
+	if server.Limited {
+		return min(slots, server.Rate*mean.Seconds())
+	}
+	return slots
 }
 
 // recordGroup records whether a group of a model was complete in time.
