Requests to a server rise step by step after its limit ended

By the rule the limit had ended, so our count was too strict there as well: it now begins anew with each limit. Change: for five seconds after its end a limit goes on, doubled each second. Conclusion: kept for the sake of servers that have just been in need.

--- a/internal/pool/limit.go
+++ b/internal/pool/limit.go
@@ -45,15 +45,29 @@
 func (p *Pool) pacer(s *serverState, now time.Time) *ratelimit.Pacer {
 	if s.rateAt.IsZero() || now.Sub(s.rateAt) > rateMaxAge {
 		s.rateAt = now
-		rate := s.limit
+		limit := s.limit
+		if !s.limitEndedAt.IsZero() {
+			limit = ratelimit.Ramp(s.limit, now.Sub(s.limitEndedAt))
+		}
+		rate := limit
 		if p.share != nil {
-			rate = p.share(s.server, s.limit, now)
+			rate = p.share(s.server, limit, now)
 		}
 		s.pacing.SetRate(now, rate)
 	}
 	return &s.pacing
 }
 
+// endRamps lifts the pacing of servers whose limit ended some time ago; the caller holds
+// mu.
+func (p *Pool) endRamps(now time.Time) {
+	for _, s := range p.servers {
+		if !s.limitEndedAt.IsZero() && now.Sub(s.limitEndedAt) > ratelimit.RampTime {
+			s.limited, s.limit, s.limitEndedAt = false, 0, time.Time{}
+		}
+	}
+}
+
 // NewObserver returns the observer of a client that sends to the servers of the current
 // pool, which may be nil. It counts the requests to each server and reads the limits that
 // the servers name. control means that the requests are not acquired from the pool, but
@@ -129,13 +143,19 @@
 // setLimit records that a server has a limit or none. The first request under a limit
 // waits as if another had just been sent.
 func (p *Pool) setLimit(s *serverState, limited bool, limit float64, now time.Time) {
-	if limited == s.limited && limit == s.limit {
+	named := s.limited && s.limitEndedAt.IsZero()
+	if limited == named && (!limited || limit == s.limit) {
 		return
 	}
 	p.log.Info("pool: limit of a server", zap.String("server", s.server.ID), zap.String("service", s.server.Service),
 		zap.Bool("limited", limited), zap.Float64("per-second", limit), zap.Float64("before", s.limit))
 	begins := limited && !s.limited
-	s.limited, s.limit, s.rateAt = limited, limit, time.Time{}
+	s.rateAt = time.Time{}
+	if !limited {
+		s.limitEndedAt = now
+		return
+	}
+	s.limited, s.limit, s.limitEndedAt = true, limit, time.Time{}
 	if begins {
 		pacer := p.pacer(s, now)
 		pacer.Delay(now, pacer.Interval())
@@ -198,7 +218,7 @@
 	defer p.mu.Unlock()
 	out := map[string]PublishedLimit{}
 	for _, s := range p.servers {
-		if s.limited {
+		if s.limited && s.limitEndedAt.IsZero() {
 			out[s.server.ID] = PublishedLimit{s.server.Born, s.limit}
 		}
 	}
--- a/internal/pool/limit_test.go
+++ b/internal/pool/limit_test.go
@@ -9,6 +9,7 @@
 	"cactusspoke/internal/kv"
 	"cactusspoke/internal/pool"
 	"cactusspoke/internal/protocol"
+	"cactusspoke/internal/ratelimit"
 	"cactusspoke/internal/telemetry"
 
 	"github.com/stretchr/testify/require"
@@ -81,6 +82,24 @@
 	}
 }
 
+// TestRampAfterLimit asserts that a server whose limit ended does not get all requests at
+// once, and soon as many as any other.
+func TestRampAfterLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPool()
+		answer(p, "b", "r-1", "0")
+		answer(p, "a", "r-1", "1")
+		time.Sleep(time.Minute)
+		require.Equal(t, 1, acquirable(p))
+		answer(p, "a", "r-2", "")
+		require.LessOrEqual(t, acquirable(p), 1)
+		time.Sleep(time.Second)
+		require.LessOrEqual(t, acquirable(p), 3)
+		time.Sleep(ratelimit.RampTime)
+		require.Equal(t, 10, acquirable(p))
+	})
+}
+
 // TestReserve checks that requests wait for the soonest server, in turn, and are not
 // admitted when they would begin too late.
 func TestReserve(t *testing.T) {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -241,6 +241,7 @@
 	defer p.mu.Unlock()
 	now := time.Now()
 	p.removeMissing(now)
+	p.endRamps(now)
 	best := p.selectServer(service, domain, accept, now, false)
 	if best == nil {
 		best = p.selectServer(service, domain, accept, now, true)
@@ -383,6 +384,7 @@
 	defer p.mu.Unlock()
 	now := time.Now()
 	p.removeMissing(now)
+	p.endRamps(now)
 	var out []Snapshot
 	for _, s := range p.servers {
 		if s.server.Service == service && !s.misdirected {
--- a/internal/pool/server.go
+++ b/internal/pool/server.go
@@ -52,6 +52,9 @@
 	// together.
 	limited bool
 	limit   float64
+	// limitEndedAt is when the server named no limit any more; zero while it does. Its
+	// requests are raised step by step from then on.
+	limitEndedAt time.Time
 	// answeredAt is when a response last told whether there is a limit.
 	answeredAt time.Time
 	// pacing spaces this process's requests at its share, which was determined at rateAt.
--- a/internal/replay/limit.go
+++ b/internal/replay/limit.go
@@ -33,7 +33,7 @@
 	PerSecond float64
 	Sent      int
 	// Most is the largest number of requests in limitWindow, from limitGrace after the
-	// server first named a limit, and Tolerated what the server takes in that time.
+	// server began to name a limit until it ended, and Tolerated what the server takes in that time.
 	Most      int
 	Tolerated float64
 }
@@ -54,14 +54,13 @@
 func summarizeLimits(lines []Line) []LimitedServer {
 	servers := map[string]*LimitedServer{}
 	sent := map[string]map[int64]int{}
-	namedAt := map[string]time.Time{}
+	periods := map[string][]limitPeriod{}
 	for _, l := range lines {
 		id := l.text("server")
 		switch l.Message {
 		case messageLimit:
-			if _, known := namedAt[id]; !known {
-				namedAt[id] = l.At
-			}
+			limited, _ := l.fields["limited"].(bool)
+			periods[id] = addPeriod(periods[id], l.At, limited)
 		case messageLimitCounts:
 			if servers[id] == nil {
 				servers[id], sent[id] = &LimitedServer{Server: id}, map[int64]int{}
@@ -78,13 +77,12 @@
 	out := make([]LimitedServer, 0, len(servers))
 	for id, s := range servers {
 		s.Tolerated = limitRatio*s.PerSecond*limitWindow + limitSlack
-		first := namedAt[id].Add(limitGrace).Unix()
 		for second := range sent[id] {
 			n := 0
 			for i := range int64(limitWindow) {
 				n += sent[id][second+i]
 			}
-			if second >= first {
+			if slices.ContainsFunc(periods[id], func(p limitPeriod) bool { return p.covers(second) }) {
 				s.Most = max(s.Most, n)
 			}
 		}
@@ -96,6 +94,29 @@
 	return out
 }
 
+// limitPeriod is a time in which a server named a limit; to is zero while it does.
+type limitPeriod struct{ from, to time.Time }
+
+// addPeriod begins or ends a period when a process reports that a server does or does not
+// name a limit. Processes learn of it one after the other.
+func addPeriod(periods []limitPeriod, at time.Time, limited bool) []limitPeriod {
+	last := len(periods) - 1
+	open := last >= 0 && periods[last].to.IsZero()
+	switch {
+	case limited && !open:
+		return append(periods, limitPeriod{from: at})
+	case !limited && open:
+		periods[last].to = at
+	}
+	return periods
+}
+
+// covers reports whether the limit held in the limitWindow that begins at a second of the
+// wall clock.
+func (p limitPeriod) covers(second int64) bool {
+	return second >= p.from.Add(limitGrace).Unix() && (p.to.IsZero() || second+limitWindow <= p.to.Unix()+1)
+}
+
 // countResumptions counts what went on after a failure.
 func countResumptions(lines []Line) Resumptions {
 	var r Resumptions
