Requests wait two seconds at most for their turn at limited servers

Cause (LIMIT): with a long deadline a request could wait through the shutdown of its instance, and for one share while another instance has a free one. Found by reading.

--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -43,6 +43,9 @@
 	minAttemptTimeout = 250 * time.Millisecond
 	// responseMargin is reserved before the deadline for sending an error response.
 	responseMargin = 10 * time.Millisecond
+	// maxTurnWait limits the wait for a turn at a server with a limit. After that time,
+	// another instance may have a free share, and this one may be asked to stop.
+	maxTurnWait = 2 * time.Second
 	// maxTurnDelay is how late a request that waited for its turn at a server with a limit
 	// may be sent. After a pause of the process, many would be sent at once.
 	maxTurnDelay = 200 * time.Millisecond
@@ -162,6 +165,9 @@
 		return !state.triedServers[server.ID] && (r.resumesAt == nil || server.Software == r.resumesAt.Software)
 	}
 	latestStart := r.deadline.Add(-max(responseMargin, r.route.LatencyObjective))
+	if longest := time.Now().Add(maxTurnWait); longest.Before(latestStart) {
+		latestStart = longest
+	}
 	for ctx.Err() == nil {
 		handle, ok := s.Pool.Acquire(service, s.FailureDomain, func(server pool.Server, _ int) bool { return untried(server) })
 		if ok {
