Origins of streams are written when streams begin; no timer runs without them

Change: it sleeps until a stream begins, and checks every half second only while streams without a record can still be resumed.

--- a/internal/streamorigin/records.go
+++ b/internal/streamorigin/records.go
@@ -26,6 +26,9 @@
 	// writes of all together.
 	writeInterval            = 50 * time.Millisecond
 	writeIntervalPerInstance = 5 * time.Millisecond
+	// recheckInterval is the time between two checks whether streams that needed no record
+	// so far need one now, since another version came.
+	recheckInterval = 500 * time.Millisecond
 	// maxPutsPerWrite bounds the records in one write; the store accepts 32 entries.
 	maxPutsPerWrite = 30
 	// leaseTime is the lifetime of a lease, whose end deletes its records. Records are
@@ -56,6 +59,8 @@
 	seen func(services []string) map[string][]string
 	// instances returns the number of entry instances.
 	instances func() int
+	// begun wakes Run when a stream began.
+	begun chan struct{}
 
 	mu sync.Mutex
 	// streams are in the order of their start.
@@ -68,11 +73,12 @@
 
 // NewRecords returns an empty set of records.
 func NewRecords(store kv.Store, seen func(services []string) map[string][]string, instances func() int, log *zap.Logger) *Records {
-	return &Records{store: store, seen: seen, instances: instances, log: log, byID: map[string]*local{}}
+	return &Records{store: store, seen: seen, instances: instances, log: log, byID: map[string]*local{}, begun: make(chan struct{}, 1)}
 }
 
 // Begin records that a server of an origin began a stream on a route to services.
 func (r *Records) Begin(id string, origin Origin, services []string) {
+	defer r.notify()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
@@ -121,11 +127,23 @@
 	return id != "" && len(id) <= maxIDBytes && !strings.ContainsAny(id, "/ ?&%")
 }
 
-// Run writes records until the context ends, and then those that are left.
+// notify wakes Run.
+func (r *Records) notify() {
+	select {
+	case r.begun <- struct{}{}:
+	default:
+	}
+}
+
+// Run writes records until the context ends, and then those that are left. It sleeps while
+// no stream may need a record.
 func (r *Records) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
+		r.awaitStreams(ctx)
+		if r.write(ctx) == maxPutsPerWrite {
+			r.notify()
+		}
 		kv.Sleep(ctx, max(writeInterval, time.Duration(r.instances())*writeIntervalPerInstance))
-		r.write(ctx)
 	}
 	final, cancel := context.WithTimeout(context.Background(), finalWriteTimeout)
 	defer cancel()
@@ -134,6 +152,32 @@
 	return ctx.Err()
 }
 
+// awaitStreams returns when a stream began or, if there are streams without a record, after
+// recheckInterval.
+func (r *Records) awaitStreams(ctx context.Context) {
+	var recheck <-chan time.Time
+	if r.anyUnwritten() {
+		recheck = time.After(recheckInterval)
+	}
+	select {
+	case <-ctx.Done():
+	case <-r.begun:
+	case <-recheck:
+	}
+}
+
+// anyUnwritten reports whether a stream that can still be resumed has no record.
+func (r *Records) anyUnwritten() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i := len(r.streams) - 1; i >= 0 && time.Since(r.streams[i].begunAt) < Retention; i-- {
+		if !r.streams[i].written {
+			return true
+		}
+	}
+	return false
+}
+
 // write writes records that are needed and returns how many it wrote.
 func (r *Records) write(ctx context.Context) int {
 	due := r.due()
