ratelimit: the share is decided in one place each; endless limits are ignored

Read as a newcomer would: the holder's part was computed twice. A limit without a finite value would have made a nonsensical number of grants; it is ignored with a log line. A request that waits for its turn counts an ejected server as free when its ejection ends.

--- a/internal/pool/limit.go
+++ b/internal/pool/limit.go
@@ -141,7 +141,7 @@
 		return
 	}
 	limit, err := strconv.ParseFloat(text, 64)
-	if text != "" && (err != nil || limit < 0 || math.IsNaN(limit)) {
+	if text != "" && (err != nil || limit < 0 || math.IsNaN(limit) || math.IsInf(limit, 0)) {
 		p.log.Warn("pool: unreadable limit ignored", zap.String("server", s.server.ID), zap.String("limit", text))
 		return
 	}
@@ -194,7 +194,8 @@
 		if pacer.Rate() == 0 {
 			continue
 		}
-		if wait := pacer.Wait(now); best == nil || wait < soonest {
+		wait := max(pacer.Wait(now), s.ejectedUntil.Sub(now))
+		if best == nil || wait < soonest {
 			best, soonest = s, wait
 		}
 	}
--- a/internal/pool/limit_test.go
+++ b/internal/pool/limit_test.go
@@ -67,6 +67,8 @@
 		{"a report names none", "", "", true},
 		{"an unreadable limit", "r-2", "many", true},
 		{"a negative limit", "r-2", "-1", true},
+		{"an endless limit", "r-2", "Inf", true},
+		{"a very high limit", "r-2", "1e300", true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/ratelimit/share.go
+++ b/internal/ratelimit/share.go
@@ -82,25 +82,24 @@
 
 // part returns the share of a process that is settled and in contact.
 func part(server string, limit float64, s Senders) float64 {
-	holder := 0.0
-	if s.HolderSends {
-		holder = holderPart * limit
-		if !s.EntriesSend || len(s.Entries) == 0 {
-			holder = limit
-		}
-	}
 	if s.IsHolder {
-		return max(minRate, holder)
+		switch {
+		case !s.HolderSends:
+			limit = 0
+		case s.EntriesSend && len(s.Entries) > 0:
+			limit *= holderPart
+		}
+		return max(minRate, limit)
 	}
 	entries := s.Entries
 	if !slices.Contains(entries, s.Self) {
 		entries = append(slices.Clone(entries), s.Self)
 	}
+	rest := limit
 	if s.HolderSends {
-		holder = holderPart * limit
+		rest -= holderPart * limit
 	}
-	rest := limit - holder
-	grants := min(len(entries), int(math.Floor(limit))+extraGrants)
+	grants := int(min(float64(len(entries)), math.Floor(limit)+extraGrants))
 	rank := rank(server, s.Self, entries)
 	if rank < grants {
 		return max(minRate, rest/float64(grants))
