--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -100,7 +100,7 @@
 	observer Observer
 }
 
-// Observer learns of the requests that a client sends. Its functions are called without
+// Observer is notified of the requests that a client sends. Its functions are called without
 // locks held and may be nil.
 type Observer struct {
 	// Sent is called before a request is written to a connection to an address.
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -47,7 +47,7 @@
 	// another instance may have a free share, and this one may be asked to stop.
 	maxTurnWait = 2 * time.Second
 	// maxTurnDelay is how late a request that waited for its turn at a server with a limit
-	// may be sent. After a pause of the process, many would be sent at once.
+	// may be sent. Otherwise a paused process would send all waiting requests at once.
 	maxTurnDelay = 200 * time.Millisecond
 	// streamBufferBytes is the size of the copy buffer of a forwarded stream.
 	streamBufferBytes = 4096
@@ -157,9 +157,8 @@
 	s.respondFailure(ctx, c, r, state, fingerprint)
 }
 
-// acquire selects a server for the next attempt. If the limits of all servers are used
-// up, it waits for the next request that one of them takes, unless the request could not
-// be served in time then.
+// acquire selects a server for the next attempt. If the limits of all servers are
+// exhausted, it waits until one allows a request, unless that would be too late.
 func (s *Server) acquire(ctx context.Context, r *callerRequest, state *forwardState, service string) (*pool.Handle, bool) {
 	untried := func(server pool.Server) bool {
 		return !state.triedServers[server.ID] && (r.resumesAt == nil || server.Software == r.resumesAt.Software)
--- a/internal/ingress/resume.go
+++ b/internal/ingress/resume.go
@@ -15,8 +15,8 @@
 )
 
 // findOrigin sets the origin of the stream that a request resumes, if any. It refuses the
-// request and returns false if the stream cannot go on: the rest of it, written by another
-// software version, would not fit.
+// request and returns false if no server of the software version that began the stream
+// can resume it.
 func (s *Server) findOrigin(ctx context.Context, c *app.RequestContext, r *callerRequest) bool {
 	if r.route.Kind != routetable.Streaming || !resumesStream(string(c.Request.Header.Peek(s.Headers.LastEventID))) {
 		return true
--- a/internal/node/limit_test.go
+++ b/internal/node/limit_test.go
@@ -164,9 +164,9 @@
 	require.Greater(c.t, longest, 100*time.Millisecond)
 }
 
-// TestRefusalAtServerLimit asserts that a request which the limits of all servers do not
-// let through in time is refused at once, with the time to come back, and never runs; one
-// that has the time waits and is served.
+// TestRefusalAtServerLimit asserts that a request which the limits of all servers delay
+// beyond its deadline is refused at once with Retry-After and never runs, and that one with
+// enough time waits and is served.
 func TestRefusalAtServerLimit(t *testing.T) {
 	t.Parallel()
 	tests := []struct {
--- a/internal/node/software_test.go
+++ b/internal/node/software_test.go
@@ -159,7 +159,7 @@
 	return stream{id, strings.Count(a.body, "\n\n")}
 }
 
-// takeUp resumes a stream and returns the status.
+// takeUp sends a request that resumes a stream and returns the status.
 func (c *cluster) takeUp(p *process, s stream) int {
 	a := c.send(p, http.MethodPost, "/stream/x", s.id+"-2", key, nil, map[string]string{
 		"X-Model": model, platform.Headers().LastEventID: strconv.Itoa(s.events), platform.Headers().Resumes: s.id,
@@ -179,8 +179,8 @@
 	return ""
 }
 
-// TestStreamTakenUpAtOtherSoftware guards against streams whose callers take them up and
-// which go on at another software version.
+// TestStreamTakenUpAtOtherSoftware guards against callers' streams that are resumed at
+// another software version.
 func TestStreamTakenUpAtOtherSoftware(t *testing.T) {
 	t.Parallel()
 	const streams = 12
--- a/internal/pool/limit.go
+++ b/internal/pool/limit.go
@@ -20,11 +20,11 @@
 const (
 	// rateMaxAge is how long a share is used before it is determined again.
 	rateMaxAge = 250 * time.Millisecond
-	// answerMaxAge is how long this process's own answers from a server go before the
-	// limits that the duty holder published.
+	// answerMaxAge is how long a response that this process received takes precedence over
+	// the limits that the duty holder published.
 	answerMaxAge = 5 * time.Second
-	// noShareWait is reported as the wait while all servers have limits of which this
-	// process has no share. Other processes have them, which a caller reaches next.
+	// noShareWait is the reported wait while this process has no share of any server's
+	// limit. A caller that retries reaches another process, which may have one.
 	noShareWait = 200 * time.Millisecond
 )
 
@@ -40,8 +40,8 @@
 	p.share = share
 }
 
-// pacer returns what spaces the requests to a server with a limit, at this process's
-// current share of the limit. The caller holds mu.
+// pacer returns the pacer of a server with a limit, set to this process's current share.
+// The caller holds mu.
 func (p *Pool) pacer(s *serverState, now time.Time) *ratelimit.Pacer {
 	if s.rateAt.IsZero() || now.Sub(s.rateAt) > rateMaxAge {
 		s.rateAt = now
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -72,8 +72,7 @@
 	share          ShareFunc
 	// seeds are the limits that another process published, by the id of the server.
 	seeds map[string]PublishedLimit
-	// rampsUntil is when the last limit that ended stops to slow requests; zero if none
-	// does.
+	// rampsUntil is when the last slow start ends; zero if there is none.
 	rampsUntil time.Time
 	// software holds the software versions that were registered lately. historyKnown
 	// means that it includes those before startedAt.
@@ -272,7 +271,7 @@
 }
 
 // selectServer returns the server with the lowest score; nil if none is
-// suitable. Servers that may not get a request now because of their limit are not.
+// suitable. Servers whose limit allows no request now are not.
 func (p *Pool) selectServer(service, domain string, accept func(Server, int) bool, now time.Time, includeEjected bool) *serverState {
 	var best *serverState
 	score := math.Inf(1)
--- a/internal/pool/server.go
+++ b/internal/pool/server.go
@@ -19,8 +19,8 @@
 	// Spot marks a server on spot capacity. It costs less and may be reclaimed
 	// together with all other spot servers of its failure domain.
 	Spot bool
-	// Software is the version of the server's software. What one version began to write,
-	// no other can go on with.
+	// Software is the version of the server's software. Another version cannot resume the
+	// responses that it began.
 	Software string
 	// Models maps each model to the version of its loaded weights.
 	Models map[string]int64
@@ -48,14 +48,13 @@
 	// an assumed one after a rejection.
 	reportedLoad   int
 	loadReportedAt time.Time
-	// limited means that the server takes only limit requests a second from all senders
-	// together.
+	// limited means that the server accepts only limit requests a second from all clients
+	// combined.
 	limited bool
 	limit   float64
-	// limitEndedAt is when the server named no limit any more; zero while it does. Its
-	// requests are raised step by step from then on.
+	// limitEndedAt is when the limit ended and the slow start began; zero while it holds.
 	limitEndedAt time.Time
-	// answeredAt is when a response last told whether there is a limit.
+	// answeredAt is the time of the last response, which shows whether a limit holds.
 	answeredAt time.Time
 	// pacing spaces this process's requests at its share, which was determined at rateAt.
 	pacing ratelimit.Pacer
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -30,7 +30,8 @@
 	// queued requests and slots.
 	Load string
 	// RateLimit is the number of requests a second, a decimal number, that a backend
-	// server takes from all senders together for as long as its responses say so.
+	// server accepts from all clients combined. The limit holds while its responses have
+	// this header.
 	RateLimit string
 	// LengthHint is the caller's estimate of the number of output tokens.
 	LengthHint string
--- a/internal/ratelimit/pacer.go
+++ b/internal/ratelimit/pacer.go
@@ -6,14 +6,14 @@
 	// burstTime is how much of its share a process may save up while it sends nothing.
 	burstTime = 500 * time.Millisecond
 	// firstDelay is the part of the interval between two requests that a process waits
-	// when its share begins or more than doubles: it may have been another's just now.
+	// when its share begins or more than doubles, since another process may just have used it.
 	firstDelay = 0.5
 	// raisedShare is how many times larger a share must be to count as new.
 	raisedShare = 2
 )
 
-// Pacer spaces the requests of one process to one server. The zero value lets none
-// through, as its rate is 0.
+// Pacer spaces the requests of one process to one server. The zero value allows
+// none, as its rate is 0.
 type Pacer struct {
 	// rate is in requests a second.
 	rate float64
@@ -21,7 +21,7 @@
 	next time.Time
 }
 
-// SetRate changes the rate in requests a second; 0 lets no requests through.
+// SetRate changes the rate in requests a second; 0 allows no requests.
 func (p *Pacer) SetRate(now time.Time, rate float64) {
 	before := p.rate
 	p.rate = rate
--- a/internal/ratelimit/ramp.go
+++ b/internal/ratelimit/ramp.go
@@ -6,12 +6,12 @@
 )
 
 const (
-	// RampTime is how long after its end a limit still slows requests. A server that just
-	// was in need may be so again if it gets all requests at once.
+	// RampTime is the duration of the slow start after a limit ended, which keeps the server
+	// from being overloaded again at once.
 	RampTime = 5 * time.Second
-	// rampDoubling is the time in which the requests double meanwhile.
+	// rampDoubling is the time in which the rate doubles during the slow start.
 	rampDoubling = time.Second
-	// minRampLimit is the limit, in requests a second, from which the ramp begins at least.
+	// minRampLimit is the lowest limit, in requests a second, at which the slow start begins.
 	minRampLimit = 1
 )
 
--- a/internal/scheduler/resumption.go
+++ b/internal/scheduler/resumption.go
@@ -17,7 +17,7 @@
 // has: no engine of the software version that began it is free, another one is, and the
 // item has waited longer than it takes to generate that part again.
 //
-// Fault that it answers: engines of a version that fail while others serve.
+// Fault that it handles: engines of one version fail while those of others serve.
 func givesUpOutput(q queuedItem, events int, waited time.Duration, msPerEvent float64, targets []target) bool {
 	again := time.Duration(float64(events) * msPerEvent * float64(time.Millisecond))
 	if waited <= again+resumptionSlack {
--- a/internal/streamorigin/decision.go
+++ b/internal/streamorigin/decision.go
@@ -1,6 +1,6 @@
-// Package streamorigin remembers which software version of a backend server began each
-// caller's stream. A stream may go on only at that version, also at another entry
-// instance and after all of them were restarted.
+// Package streamorigin records which software version of a backend server began each
+// caller's stream. A stream can be resumed only at that version, by any entry instance
+// and also after all of them were restarted.
 package streamorigin
 
 import (
@@ -18,7 +18,7 @@
 	Software string
 }
 
-// Knowledge is what an entry instance knows when a caller takes up a stream.
+// Knowledge is what an entry instance knows when a caller resumes a stream.
 type Knowledge struct {
 	// Recorded is the origin that an instance recorded; nil if there is none.
 	Recorded *Origin
