web: serve and dial on the runtime's network poller

Cause: the transport netpoll waits in epoll_pwait through an ordinary system call. The goroutine is in state syscall and keeps its processor of the runtime until the monitor takes it away; entry instances have one. Change: the server uses the standard transport. It does not notice disconnections and has no read timeout before the first request, so both are ours now: a goroutine for each request peeks at the socket, and the timeout is set on connecting. The client is that of http1 instead of the HTTP library with a wrapped connection: one client, with its checks of stale connections, instead of two.

--- a/internal/backendserver/client.go
+++ b/internal/backendserver/client.go
@@ -230,7 +230,7 @@
 	if err != nil {
 		return nil, sendError(r.ctx, err)
 	}
-	want := r.stream.Response().Header.ContentLength()
+	want := r.stream.ContentLength()
 	if want >= 0 && want != len(body) {
 		return nil, &Error{ran: failure.RanUnknown, lost: true, cause: Class.New("received only %d of %d bytes of the response body", len(body), want)}
 	}
--- a/internal/web/client.go
+++ b/internal/web/client.go
@@ -1,17 +1,24 @@
-// Package web wraps the HTTP library Hertz for all HTTP clients and servers of this
-// program: the client never resends a request by itself, bodies are limited in size,
-// and addresses are IP addresses.
+// Package web wraps the HTTP clients and servers of this program. Its servers are
+// those of the HTTP library Hertz; its client is that of package http1, which never
+// resends a request by itself. Bodies are limited in size, and addresses are IP
+// addresses.
+//
+// Both run on the network poller of the Go runtime. A library with a poller of its own
+// waits in an ordinary system call, which occupies a processor of the runtime until its
+// monitor takes it away: a process with one processor runs nothing else meanwhile.
 package web
 
 import (
 	"context"
 	"errors"
 	"io"
+	"net/http"
+	"net/url"
+	"strconv"
 	"time"
 
-	"github.com/cloudwego/hertz/pkg/app/client"
-	"github.com/cloudwego/hertz/pkg/common/config"
-	"github.com/cloudwego/hertz/pkg/network/netpoll"
+	"cactusspoke/internal/http1"
+
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/zeebo/errs"
 )
@@ -24,18 +31,21 @@
 
 // Limits of the client.
 const (
-	dialTimeout        = time.Second
-	maxConnsPerHost    = 4096
-	maxIdleDuration    = 30 * time.Second
 	maxReplyBytes      = 64 << 20
 	defaultReadTimeout = 60 * time.Second
+	// maxDrainBytes limits what is read of a response that is closed before its end, such
+	// as the end of a stream after its last event.
+	maxDrainBytes = 4 << 10
+	// drainTimeout limits the wait for it.
+	drainTimeout = 500 * time.Millisecond
 )
 
 // Client sends each request at most once. Buffered and streamed responses use
 // separate connection pools.
 type Client struct {
-	buffered *client.Client
-	streamed *client.Client
+	buffered    *http1.Client
+	streamed    *http1.Client
+	readTimeout time.Duration
 }
 
 // NewClient returns a client. readTimeout limits each read. Zero selects the default.
@@ -43,28 +53,7 @@
 	if readTimeout == 0 {
 		readTimeout = defaultReadTimeout
 	}
-	buffered, err := newHertzClient(readTimeout, false)
-	if err != nil {
-		return nil, Class.Wrap(err)
-	}
-	streamed, err := newHertzClient(readTimeout, true)
-	if err != nil {
-		return nil, Class.Wrap(err)
-	}
-	return &Client{buffered: buffered, streamed: streamed}, nil
-}
-
-func newHertzClient(readTimeout time.Duration, stream bool) (*client.Client, error) {
-	options := []config.ClientOption{
-		client.WithDialFunc(dial, netpoll.NewDialer()),
-		client.WithMaxConnsPerHost(maxConnsPerHost),
-		client.WithMaxIdleConnDuration(maxIdleDuration),
-		client.WithClientReadTimeout(readTimeout),
-		client.WithResponseBodyStream(stream),
-		client.WithNoDefaultUserAgentHeader(true),
-		client.WithDisablePathNormalizing(true),
-	}
-	return client.NewClient(options...)
+	return &Client{buffered: http1.NewClient(), streamed: http1.NewClient(), readTimeout: readTimeout}, nil
 }
 
 // Request is an HTTP request.
@@ -94,25 +83,29 @@
 	return r
 }
 
-// copyTo copies the request to a request of the HTTP library.
-func (r *Request) copyTo(out *protocol.Request) {
-	out.SetMethod(r.method)
-	out.SetRequestURI(r.url)
+// encode returns the request and the address that it goes to.
+func (r *Request) encode() (*http1.Request, string, error) {
+	target, err := url.Parse(r.url)
+	if err != nil {
+		return nil, "", err
+	}
+	out := &http1.Request{Method: r.method, URI: target.RequestURI(), Host: target.Host}
 	if r.contentType != "" {
-		out.Header.SetContentTypeBytes([]byte(r.contentType))
+		out.Headers = append(out.Headers, http1.Header{Name: "Content-Type", Value: r.contentType})
 	}
 	for _, h := range r.headers {
-		out.Header.Set(h.name, h.value)
+		out.Headers = append(out.Headers, http1.Header{Name: h.name, Value: h.value})
 	}
 	if len(r.body) > 0 {
-		out.SetBodyRaw(r.body)
+		out.Body = r.body
 	}
+	return out, target.Host, nil
 }
 
 // Reply is a response with its whole body.
 type Reply struct {
 	status  int
-	headers protocol.ResponseHeader
+	headers http.Header
 	body    []byte
 }
 
@@ -120,7 +113,7 @@
 
 func (r *Reply) Header(name string) string { return r.headers.Get(name) }
 
-func (r *Reply) ContentType() string { return string(r.headers.ContentType()) }
+func (r *Reply) ContentType() string { return r.headers.Get("Content-Type") }
 
 // Body returns the body. The caller may retain it.
 func (r *Reply) Body() []byte { return r.body }
@@ -129,87 +122,129 @@
 // ErrNotSent, nothing was sent. After any other error, the server may have received
 // the request.
 func (c *Client) Do(ctx context.Context, r *Request) (*Reply, error) {
-	resp, err := send(ctx, c.buffered, r)
+	stream, err := c.send(ctx, c.buffered, r)
 	if err != nil {
 		return nil, err
 	}
-	defer protocol.ReleaseResponse(resp)
-	reply := &Reply{status: resp.StatusCode()}
-	resp.Header.CopyTo(&reply.headers)
-	reply.body = append([]byte(nil), resp.Body()...)
-	return reply, nil
-}
-
-// maxStaleConns limits how many stale pooled connections one request may discard.
-const maxStaleConns = 64
-
-// send sends a request on a connection that is not stale. Retrying is safe, because a
-// stale connection is detected before anything is sent on it.
-func send(ctx context.Context, hertz *client.Client, r *Request) (*protocol.Response, error) {
-	for range maxStaleConns {
-		resp, err := sendOnce(ctx, hertz, r)
-		if !errors.Is(err, errStale) {
-			return resp, err
-		}
+	body, err := stream.ReadAll()
+	if err != nil {
+		stream.Abort()
+		return nil, err
 	}
-	return nil, ErrNotSent
+	stream.Close()
+	return &Reply{status: stream.Status(), headers: stream.response.Headers(), body: body}, nil
+}
+
+// Open sends a request at most once and returns when the response headers have
+// arrived. ctx limits the whole exchange, and the client's read timeout each wait.
+// Errors are as for Do.
+func (c *Client) Open(ctx context.Context, r *Request) (*Stream, error) {
+	return c.send(ctx, c.streamed, r)
 }
 
-func sendOnce(ctx context.Context, hertz *client.Client, r *Request) (*protocol.Response, error) {
+func (c *Client) send(ctx context.Context, client *http1.Client, r *Request) (*Stream, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, errors.Join(ErrNotSent, err)
 	}
-	req := protocol.AcquireRequest()
-	defer protocol.ReleaseRequest(req)
-	resp := protocol.AcquireResponse()
-	r.copyTo(req)
-	if deadline, ok := ctx.Deadline(); ok {
-		return resp, hertz.DoDeadline(ctx, req, resp, deadline)
+	request, address, err := r.encode()
+	if err != nil {
+		return nil, errors.Join(ErrNotSent, err)
 	}
-	return resp, hertz.Do(ctx, req, resp)
+	ctx, cancel := context.WithCancelCause(ctx)
+	idle := time.AfterFunc(c.readTimeout, func() { cancel(errReadTimeout) })
+	response, err := client.Do(ctx, address, request)
+	if err != nil {
+		idle.Stop()
+		cancel(nil)
+		if http1.NotSent(err) {
+			return nil, errors.Join(ErrNotSent, err)
+		}
+		return nil, readError(ctx, err)
+	}
+	return &Stream{response: response, ctx: ctx, cancel: cancel, idle: idle, timeout: c.readTimeout}, nil
+}
+
+// errReadTimeout means that nothing arrived within the read timeout.
+var errReadTimeout = Class.New("read timeout")
+
+// readError returns the error of a read, which is errReadTimeout if that ended it.
+func readError(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); errors.Is(cause, errReadTimeout) {
+		return Class.Wrap(cause)
+	}
+	return Class.Wrap(err)
 }
 
 // Stream is a response whose body is read incrementally.
 type Stream struct {
-	resp *protocol.Response
+	response *http1.Response
+	ctx      context.Context
+	cancel   context.CancelCauseFunc
+	idle     *time.Timer
+	timeout  time.Duration
 }
 
-// Open sends a request at most once and returns when the response headers have
-// arrived. The deadline of ctx and the client's read timeout limit the wait. Errors
-// are as for Do.
-func (c *Client) Open(ctx context.Context, r *Request) (*Stream, error) {
-	resp, err := send(ctx, c.streamed, r)
+func (s *Stream) Status() int { return s.response.Status() }
+
+func (s *Stream) Header(name string) string { return s.response.Header(name) }
+
+func (s *Stream) ContentType() string { return s.Header("Content-Type") }
+
+// ContentLength returns the length of the body that the server named, or -1.
+func (s *Stream) ContentLength() int {
+	length, err := strconv.Atoi(s.Header("Content-Length"))
 	if err != nil {
-		return nil, err
+		return -1
 	}
-	return &Stream{resp: resp}, nil
+	return length
 }
 
-func (s *Stream) Status() int { return s.resp.StatusCode() }
-
-func (s *Stream) Header(name string) string { return s.resp.Header.Get(name) }
-
-func (s *Stream) ContentType() string { return string(s.resp.Header.ContentType()) }
+// Read reads the body. It returns io.EOF only if the body is complete.
+func (s *Stream) Read(p []byte) (int, error) {
+	s.idle.Reset(s.timeout)
+	n, err := s.response.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		return n, readError(s.ctx, err)
+	}
+	return n, err
+}
 
-// Response returns the response of the HTTP library, for its event reader.
-func (s *Stream) Response() *protocol.Response { return s.resp }
+// Response returns the response in the form that the HTTP library's event reader takes.
+func (s *Stream) Response() *protocol.Response {
+	response := &protocol.Response{}
+	response.SetStatusCode(s.Status())
+	response.Header.SetContentType(s.ContentType())
+	response.SetBodyStream(s, s.ContentLength())
+	return response
+}
 
 // ReadAll reads the rest of the body, up to maxReplyBytes.
 func (s *Stream) ReadAll() ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(s.resp.BodyStream(), maxReplyBytes))
+	body, err := io.ReadAll(io.LimitReader(s, maxReplyBytes))
 	if err != nil {
 		return nil, Class.Wrap(err)
 	}
 	return body, nil
 }
 
-// Close returns the connection to the pool. The body must have been read to its end.
-func (s *Stream) Close() { _ = s.resp.CloseBodyStream() }
+// Close returns the connection to the pool if little or nothing of the body is left to
+// read, and closes it otherwise.
+func (s *Stream) Close() {
+	s.timeout = drainTimeout
+	_, _ = io.CopyN(io.Discard, s, maxDrainBytes) // after an error the connection is closed
+	s.response.Close()
+	s.end()
+}
 
 // Abort closes the connection, so that no later request can read the rest of this
 // response.
 func (s *Stream) Abort() {
-	if f, ok := s.resp.BodyStream().(interface{ ForceClose() error }); ok {
-		_ = f.ForceClose()
-	}
+	s.response.Abort()
+	s.end()
+}
+
+// end releases what the exchange holds.
+func (s *Stream) end() {
+	s.idle.Stop()
+	s.cancel(nil)
 }
--- a/internal/web/server.go
+++ b/internal/web/server.go
@@ -8,16 +8,21 @@
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/common/hlog"
-	"github.com/cloudwego/hertz/pkg/network/netpoll"
+	"github.com/cloudwego/hertz/pkg/network"
+	"github.com/cloudwego/hertz/pkg/network/standard"
 )
 
 // Limits of the server.
 const (
+	// keepAliveTimeout is how long a connection may stay open without a request.
 	keepAliveTimeout = 60 * time.Second
-	bodyReadTimeout  = 30 * time.Second
+	// readTimeout is how long a peer may pause within a request.
+	readTimeout = 30 * time.Second
+	// maxHeaderBytes limits the headers of a request. A peer may send them without end.
+	maxHeaderBytes = 1 << 20
 )
 
-// Handler handles a request.
+// Handler handles a request. Its context ends when the peer closes the connection.
 type Handler func(ctx context.Context, c *app.RequestContext)
 
 // Server is an HTTP server that listens on one IP address and port.
@@ -32,15 +37,26 @@
 // larger than maxBodyBytes with status 413. A shutdown waits up to shutdownTimeout for
 // running requests.
 func NewServer(address string, maxBodyBytes int, shutdownTimeout time.Duration) *Server {
+	return newServer(address, maxBodyBytes, shutdownTimeout, keepAliveTimeout, readTimeout)
+}
+
+func newServer(address string, maxBodyBytes int, shutdownTimeout, keepAlive, read time.Duration) *Server {
 	silenceLog.Do(func() { hlog.SetLevel(hlog.LevelFatal) })
 	hertz := server.New(
 		server.WithHostPorts(address),
-		server.WithTransport(netpoll.NewTransporter),
+		server.WithTransport(standard.NewTransporter),
+		server.WithOnAccept(withConnection),
+		server.WithOnConnect(func(ctx context.Context, conn network.Conn) context.Context {
+			// The transport applies its read timeout only after the first request.
+			_ = conn.SetReadTimeout(read)
+			return ctx
+		}),
 		server.WithMaxRequestBodySize(maxBodyBytes),
 		server.WithExitWaitTime(shutdownTimeout),
-		server.WithSenseClientDisconnection(true),
-		server.WithReadTimeout(bodyReadTimeout),
-		server.WithKeepAliveTimeout(keepAliveTimeout),
+		server.WithReadTimeout(read),
+		server.WithKeepAliveTimeout(keepAlive),
+		server.WithIdleTimeout(keepAlive),
+		server.WithMaxHeaderBytes(maxHeaderBytes),
 		server.WithDisablePrintRoute(true),
 		server.WithDisablePreParseMultipartForm(true),
 	)
@@ -49,17 +65,17 @@
 
 // Handle registers the handler for a method and a route pattern.
 func (s *Server) Handle(method, pattern string, handler Handler) {
-	s.hertz.Handle(method, pattern, app.HandlerFunc(handler))
+	s.hertz.Handle(method, pattern, untilDisconnect(handler))
 }
 
 // HandleAllMethods registers the handler for all methods of a route pattern.
 func (s *Server) HandleAllMethods(pattern string, handler Handler) {
-	s.hertz.Any(pattern, app.HandlerFunc(handler))
+	s.hertz.Any(pattern, untilDisconnect(handler))
 }
 
 // HandleUnmatched registers the handler for requests that match no route pattern.
 func (s *Server) HandleUnmatched(handler Handler) {
-	s.hertz.NoRoute(app.HandlerFunc(handler))
+	s.hertz.NoRoute(untilDisconnect(handler))
 }
 
 // Serve listens and serves until ctx ends. It then shuts down and waits for running
