node: a histogram of the lateness of timers in each process

A starved process was seen only by its effects. timer_lateness_ms is measured twice a second; lateness from 150 ms on is logged. docs/OPERATIONS.md tells how to read it.

--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -130,6 +130,7 @@
 	components.start("servers", serverSubscriber.Run)
 	components.start("poison", poisonTracker.Run)
 	components.start("limits", serverPool.LogLimits)
+	components.start("lateness", measureLateness(e.metrics, e.log))
 	components.start("activity", logActivity("entry", metered, backends.Connections, e.log))
 	components.start("ready", e.listen(s.ReadyAddress, frontServer.ServeReady))
 	components.start("directory", e.listen(s.DirectoryAddress, frontServer.ServeLookup))
--- a/internal/node/scheduler.go
+++ b/internal/node/scheduler.go
@@ -83,6 +83,7 @@
 	candidate := election.New(store, schedulerDuty, s.Name, s.HolderCooldown, n.log)
 	components := newComponentGroup(ctx, n.log)
 	components.start("configuration", kv.NewFollower(store, n.adapter.Decoder.ConfigKey, 0, view, n.log).Run)
+	components.start("lateness", measureLateness(n.metrics, n.log))
 	components.start("activity", logActivity("scheduler", store, n.backends.Connections, n.log))
 	components.start("retiring", kv.NewFollower(store, n.adapter.Decoder.RetirePrefix, 0, view, n.log).Run)
 	components.start("duties", kv.NewFollower(store, election.Prefix, 0, candidate, n.log).Run)
