reach: evidence on the paths to the servers of a service, logged

Dials and responses are evidence; after requests to two servers (or the only one) failed without a response, a few connections are opened, more often while the paths count as lost. Connect of http1 keeps the connections for requests; Observer.Dialed reports dials.

--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -30,6 +30,9 @@
 	// dialTimeout bounds connection setup. Servers are at most a few
 	// milliseconds away.
 	dialTimeout = 300 * time.Millisecond
+	// minDialWait is the wait after which a server that has not accepted a connection
+	// counts as unreachable.
+	minDialWait = 150 * time.Millisecond
 	// keepAliveInterval is the idle time before the first TCP keep-alive probe
 	// and the interval between probes: a dead connection is detected after
 	// about three intervals.
@@ -98,6 +101,7 @@
 	idle     map[string][]*conn
 	open     atomic.Int64
 	observer Observer
+	dialer   DialFunc
 }
 
 // Observer is notified of the requests that a client sends. Its functions are called without
@@ -107,13 +111,60 @@
 	Sent func(address string)
 	// Answered is called with the head of each response.
 	Answered func(address string, status int, header http.Header)
+	// Dialed is called after each attempt to open a connection, unless it was given up
+	// before the server had time to respond. err is nil if the connection is open.
+	Dialed func(address string, err error)
 }
 
+// Combine returns an observer that notifies several others.
+func Combine(observers ...Observer) Observer {
+	return Observer{
+		Sent: func(address string) {
+			for _, o := range observers {
+				if o.Sent != nil {
+					o.Sent(address)
+				}
+			}
+		},
+		Answered: func(address string, status int, header http.Header) {
+			for _, o := range observers {
+				if o.Answered != nil {
+					o.Answered(address, status, header)
+				}
+			}
+		},
+		Dialed: func(address string, err error) {
+			for _, o := range observers {
+				if o.Dialed != nil {
+					o.Dialed(address, err)
+				}
+			}
+		},
+	}
+}
+
+// DialFunc opens a connection to an address. The connection must be a syscall.Conn.
+type DialFunc func(ctx context.Context, address string) (net.Conn, error)
+
 // Observe sets the observer. It must be called before the first request.
 func (c *Client) Observe(o Observer) { c.observer = o }
 
 // NewClient returns a client with an empty connection pool.
-func NewClient() *Client { return &Client{idle: map[string][]*conn{}} }
+func NewClient() *Client { return &Client{idle: map[string][]*conn{}, dialer: dialTCP} }
+
+// UseDialer replaces the function that opens connections. It must be called before the
+// first request.
+func (c *Client) UseDialer(dial DialFunc) { c.dialer = dial }
+
+// Connect opens a connection to an address and keeps it for a later request.
+func (c *Client) Connect(ctx context.Context, address string) error {
+	cn, err := c.dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	c.putIdle(cn, maxIdleTime)
+	return nil
+}
 
 // Connections returns the number of open connections.
 func (c *Client) Connections() int { return int(c.open.Load()) }
@@ -224,8 +275,25 @@
 }
 
 func (c *Client) dial(ctx context.Context, address string) (*conn, error) {
+	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	startedAt := time.Now()
+	inner, err := c.dialer(dialCtx, address)
+	givenUp := ctx.Err() != nil && time.Since(startedAt) < minDialWait
+	if c.observer.Dialed != nil && !givenUp {
+		c.observer.Dialed(address, err)
+	}
+	if err != nil {
+		return nil, Class.Wrap(err)
+	}
+	c.open.Add(1)
+	limiter := &headLimiter{inner: inner}
+	return &conn{Conn: inner, client: c, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes), address: address}, nil
+}
+
+// dialTCP opens a connection that detects a dead peer by itself.
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
 	dialer := net.Dialer{
-		Timeout: dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes,
 		},
@@ -237,13 +305,7 @@
 			return errors.Join(err, failed)
 		},
 	}
-	inner, err := dialer.DialContext(ctx, "tcp4", address)
-	if err != nil {
-		return nil, Class.Wrap(err)
-	}
-	c.open.Add(1)
-	limiter := &headLimiter{inner: inner}
-	return &conn{Conn: inner, client: c, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes), address: address}, nil
+	return dialer.DialContext(ctx, "tcp4", address)
 }
 
 // putIdle returns a connection to the pool after a complete exchange.
@@ -266,7 +328,11 @@
 	if cn.reader.Buffered() > 0 {
 		return false
 	}
-	raw, err := cn.Conn.(*net.TCPConn).SyscallConn()
+	socket, ok := cn.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -226,6 +226,9 @@
 	response, err := s.Backends.Do(ctx, server.Address, s.backendRequest(c, r, server))
 	if err != nil {
 		state.reason = err.Error()
+		if !errors.Is(ctx.Err(), context.Canceled) {
+			s.Reach.Suspect(server.Service, server.Address)
+		}
 		if http1.NotSent(err) {
 			handle.Release(pool.Failed)
 			return attemptNotRun
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -18,6 +18,7 @@
 	"cactusspoke/internal/poison"
 	"cactusspoke/internal/pool"
 	"cactusspoke/internal/protocol"
+	"cactusspoke/internal/reach"
 	"cactusspoke/internal/routetable"
 	"cactusspoke/internal/streamorigin"
 	"cactusspoke/internal/telemetry"
@@ -64,8 +65,10 @@
 	Meter          *meter.Meter
 	Poison         *poison.Tracker
 	Streams        *streamorigin.Records
-	Metrics        *telemetry.Registry
-	Log            *zap.Logger
+	// Paths tells which servers this instance reaches.
+	Reach   *reach.Monitor
+	Metrics *telemetry.Registry
+	Log     *zap.Logger
 	// Address is the host and port at which callers reach this instance.
 	Address       string
 	FailureDomain string
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -14,6 +14,7 @@
 	"cactusspoke/internal/pool"
 	"cactusspoke/internal/protocol"
 	"cactusspoke/internal/ratelimit"
+	"cactusspoke/internal/reach"
 	"cactusspoke/internal/routetable"
 	"cactusspoke/internal/streamorigin"
 	"cactusspoke/internal/telemetry"
@@ -68,6 +69,9 @@
 	NewStore func(*http1.Client, string) kv.Store
 	// NewControlClient returns a client that sends calls on behalf of the duty holder.
 	NewControlClient func(client *http1.Client, holder, cloud string) ControlClient
+	// DialServers opens the connections of an entry instance to backend servers and peers.
+	// If it is nil, the network does.
+	DialServers http1.DialFunc
 	// RetireKey and RetireStatus return the key and the value with which a node
 	// reports whether its machine is drained.
 	RetireKey    func(node string) string
@@ -100,7 +104,11 @@
 	store := kv.NewMonitoredStore(metered)
 	view := routetable.NewView(e.adapter.Decoder, e.log, func() {})
 	serverPool := pool.New(e.adapter.DecodeServer, e.log, func() {})
-	backends.Observe(pool.NewObserver(func() *pool.Pool { return serverPool }, e.adapter.Headers, e.metrics, false))
+	if e.adapter.DialServers != nil {
+		backends.UseDialer(e.adapter.DialServers)
+	}
+	paths := reach.NewMonitor(reach.Config{Addresses: serverPool.Addresses, Connect: backends.Connect, Metrics: e.metrics, Log: e.log})
+	backends.Observe(http1.Combine(pool.NewObserver(func() *pool.Pool { return serverPool }, e.adapter.Headers, e.metrics, false), paths.Observer()))
 	members := ratelimit.NewMembers(directory.Prefix)
 	serverPool.UseShares(limitShares(s.Name, false, view, members))
 	entryDirectory := directory.New()
@@ -113,7 +121,7 @@
 	frontServer := ingress.New(ingress.Config{
 		Headers: e.adapter.Headers, Paths: e.adapter.Paths, Codec: e.adapter.Codec,
 		View: view, Pool: serverPool, Backends: backends, Jobs: batch.NewJobStore(store, s.MaxValueBytes),
-		StoreReachable: store.Reachable, Directory: entryDirectory, Clock: clock, Meter: usageMeter, Poison: poisonTracker, Streams: streams, Metrics: e.metrics, Log: e.log,
+		StoreReachable: store.Reachable, Directory: entryDirectory, Clock: clock, Meter: usageMeter, Poison: poisonTracker, Streams: streams, Reach: paths, Metrics: e.metrics, Log: e.log,
 		MaxBufferedBytes: int64(bufferedShare * float64(s.MemoryBytes)),
 		Address:          s.FrontAddress, FailureDomain: s.FailureDomain, MaxAddressTTL: s.MaxAddressTTL,
 	})
@@ -130,6 +138,7 @@
 	components.start("servers", serverSubscriber.Run)
 	components.start("poison", poisonTracker.Run)
 	components.start("limits", serverPool.LogLimits)
+	components.start("paths", paths.Run)
 	components.start("lateness", measureLateness(e.metrics, e.log))
 	components.start("activity", logActivity("entry", metered, backends.Connections, e.log))
 	components.start("ready", e.listen(s.ReadyAddress, frontServer.ServeReady))
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -403,6 +403,19 @@
 	return out
 }
 
+// Addresses returns the addresses of the servers of a service that accept requests.
+func (p *Pool) Addresses(service string) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []string
+	for _, s := range p.servers {
+		if s.server.Service == service && !s.server.Draining && !s.misdirected {
+			out = append(out, s.server.Address)
+		}
+	}
+	return out
+}
+
 // UpdateWeightVersion records the version of a model's weights that a server reported in a
 // response, if it is newer than the version in its registration.
 func (p *Pool) UpdateWeightVersion(id, model string, version int64) {
