--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -36,6 +36,10 @@
 	// missingGracePeriod is how long an address is still handed out after its
 	// registration disappeared around a store outage.
 	missingGracePeriod = 3 * time.Second
+	// minAnnouncedShare of all instances must have their paths to servers for callers to be
+	// sent to these alone. Otherwise they would overload them: all instances are announced,
+	// and those without paths relay what the others can take.
+	minAnnouncedShare = 0.3
 	// maxAddresses limits the addresses in a response; callers accept up to 64.
 	maxAddresses = 64
 )
@@ -44,6 +48,8 @@
 type member struct {
 	address string
 	domain  string
+	// lost holds the services to which the instance lost its paths.
+	lost []string
 	// missingSince is when the registration disappeared; zero while it exists.
 	missingSince time.Time
 }
@@ -99,11 +105,28 @@
 	d.reachable = ok
 }
 
-// put adds or updates a registration, whose value is the address and the
-// failure domain, separated by a space.
-func (d *Directory) put(item kv.Item) {
-	address, domain, _ := strings.Cut(string(item.Value), " ")
-	d.members[item.Key] = member{address: address, domain: domain}
+// put adds or updates a registration.
+func (d *Directory) put(item kv.Item) { d.members[item.Key] = decodeMember(item.Value) }
+
+// encodeMember returns the value of a registration: the address, the failure domain and
+// the services to which the instance lost its paths, if any, separated by spaces.
+func encodeMember(address, domain string, lost []string) []byte {
+	value := address + " " + domain
+	if len(lost) > 0 {
+		value += " " + strings.Join(lost, ",")
+	}
+	return []byte(value)
+}
+
+// decodeMember decodes the value of a registration.
+func decodeMember(value []byte) member {
+	address, rest, _ := strings.Cut(string(value), " ")
+	domain, lost, found := strings.Cut(rest, " ")
+	m := member{address: address, domain: domain}
+	if found {
+		m.lost = strings.Split(lost, ",")
+	}
+	return m
 }
 
 // markMissing removes a deleted registration. Around a store outage it only
@@ -125,13 +148,24 @@
 }
 
 // Addresses returns the addresses that a caller may connect to, those in the
-// caller's failure domain first.
+// caller's failure domain first. Instances that lost their paths to servers are left out
+// while enough others are left.
 func (d *Directory) Addresses(domain string) []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var local, remote []string
 	d.removeExpired()
+	sound := 0
+	for _, m := range d.members {
+		if len(m.lost) == 0 {
+			sound++
+		}
+	}
+	all := float64(sound) < minAnnouncedShare*float64(len(d.members)) || sound == 0
 	for _, m := range d.members {
+		if len(m.lost) > 0 && !all {
+			continue
+		}
 		if m.domain == domain {
 			local = append(local, m.address)
 		} else {
@@ -145,11 +179,17 @@
 
 // Peers returns the addresses of the other entry instances in random order.
 func (d *Directory) Peers(self string) []string {
+	return d.peers(self, func(member) bool { return true })
+}
+
+// peers returns the addresses of the other entry instances that accept allows, in random
+// order.
+func (d *Directory) peers(self string, accept func(member) bool) []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var peers []string
 	for _, m := range d.members {
-		if m.address != self && m.missingSince.IsZero() {
+		if m.address != self && m.missingSince.IsZero() && accept(m) {
 			peers = append(peers, m.address)
 		}
 	}
@@ -157,6 +197,12 @@
 	return peers
 }
 
+// PeersReaching returns the addresses of the other entry instances that are not known to
+// have lost their paths to the servers of a service, in random order.
+func (d *Directory) PeersReaching(self, service string) []string {
+	return d.peers(self, func(m member) bool { return !slices.Contains(m.lost, service) })
+}
+
 // Entry is an entry instance in the directory.
 type Entry struct {
 	Name string
@@ -200,31 +246,36 @@
 
 // Registration registers this instance in the directory.
 type Registration struct {
-	store kv.Store
-	key   string
-	value []byte
-	log   *zap.Logger
+	store   kv.Store
+	key     string
+	address string
+	domain  string
+	log     *zap.Logger
+	// lost returns the services to which this instance lost its paths.
+	lost func() []string
 	// frequent reports whether the lease is renewed at relayRenewInterval.
 	frequent func() bool
 }
 
 // NewRegistration returns the registration of an instance. While frequent returns
-// true, renewals are frequent, which shows sooner that the store is out of reach.
-func NewRegistration(store kv.Store, name, address, domain string, frequent func() bool, log *zap.Logger) *Registration {
-	return &Registration{store: store, key: Prefix + name, value: []byte(address + " " + domain), frequent: frequent, log: log}
+// true, renewals are frequent, which shows sooner that the store is out of reach. lost
+// returns the services to which the instance lost its paths.
+func NewRegistration(store kv.Store, name, address, domain string, frequent func() bool, lost func() []string, log *zap.Logger) *Registration {
+	return &Registration{store: store, key: Prefix + name, address: address, domain: domain, frequent: frequent, lost: lost, log: log}
 }
 
 // Run keeps the instance registered until the context ends, and then
 // unregisters it.
 func (r *Registration) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		lease, err := r.register(ctx)
+		lost := r.lost()
+		lease, err := r.register(ctx, lost)
 		if err != nil {
 			r.log.Warn("directory: registration failed", zap.String("reason", err.Error()))
 			kv.Sleep(ctx, renewInterval/3)
 			continue
 		}
-		r.renewUntilExpired(ctx, lease)
+		r.renewUntilExpired(ctx, lease, lost)
 		if ctx.Err() != nil {
 			r.unregister(lease)
 		}
@@ -233,28 +284,46 @@
 }
 
 // register writes the registration under a new lease.
-func (r *Registration) register(ctx context.Context) (kv.LeaseID, error) {
+func (r *Registration) register(ctx context.Context, lost []string) (kv.LeaseID, error) {
 	lease, err := r.store.Grant(ctx, registrationTTL)
 	if err != nil {
 		return 0, err
 	}
-	_, err = r.store.Commit(ctx, kv.Txn{Puts: []kv.Put{{Key: r.key, Value: r.value, Lease: lease}}})
-	return lease, err
+	return lease, r.write(ctx, lease, lost)
+}
+
+// write writes the registration under a lease.
+func (r *Registration) write(ctx context.Context, lease kv.LeaseID, lost []string) error {
+	value := encodeMember(r.address, r.domain, lost)
+	_, err := r.store.Commit(ctx, kv.Txn{Puts: []kv.Put{{Key: r.key, Value: value, Lease: lease}}})
+	return err
 }
 
-// renewUntilExpired renews the lease until it has expired or the context ends.
-func (r *Registration) renewUntilExpired(ctx context.Context, lease kv.LeaseID) {
+// renewUntilExpired renews the lease until it has expired or the context ends. It writes the
+// registration again when the lost services have changed since announced was written; a
+// write at each renewal at most bounds what paths that come and go cost the store.
+func (r *Registration) renewUntilExpired(ctx context.Context, lease kv.LeaseID, announced []string) {
 	for ctx.Err() == nil {
 		interval := renewInterval
 		if r.frequent() {
 			interval = relayRenewInterval
 		}
 		kv.Sleep(ctx, interval)
-		if r.renew(ctx, lease) {
+		if !r.renew(ctx, lease) {
+			r.log.Warn("directory: registration expired")
+			return
+		}
+		lost := r.lost()
+		if slices.Equal(lost, announced) || ctx.Err() != nil {
 			continue
 		}
-		r.log.Warn("directory: registration expired")
-		return
+		err := r.write(ctx, lease, lost)
+		if err != nil {
+			r.log.Warn("directory: announcing the lost services failed, will retry", zap.String("reason", err.Error()))
+			continue
+		}
+		r.log.Info("directory: lost services announced", zap.Strings("lost", lost))
+		announced = lost
 	}
 }
 
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -1,6 +1,7 @@
 package directory_test
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -50,3 +51,42 @@
 		})
 	}
 }
+
+// TestLostInstancesAreLeftOut checks to which instances callers and relayed requests are
+// sent while some lost their paths to the servers of a service.
+func TestLostInstancesAreLeftOut(t *testing.T) {
+	tests := []struct {
+		name        string
+		lost, sound int
+		callers     int
+		peers       int
+	}{
+		{"none", 0, 4, 4, 3},
+		{"one", 1, 3, 3, 2},
+		{"most", 4, 3, 3, 2},
+		{"nearly all", 6, 1, 7, 0},
+		{"all", 4, 0, 4, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := directory.New()
+			d.Reachable(true)
+			var items []kv.Item
+			for i := range tt.lost + tt.sound {
+				name := fmt.Sprintf("10.0.0.%d:80", i)
+				value := name + " zone"
+				if i >= tt.sound {
+					value += " other,service"
+				}
+				items = append(items, kv.Item{Key: directory.Prefix + name, Value: []byte(value)})
+			}
+			d.Reset(items)
+			require.Len(t, d.Addresses("zone"), tt.callers)
+			require.Len(t, d.PeersReaching("10.0.0.0:80", "service"), tt.peers)
+			require.Len(t, d.PeersReaching("10.0.0.0:80", "third"), tt.lost+tt.sound-1)
+			for _, e := range d.Entries() {
+				require.Equal(t, "zone", e.FailureDomain)
+			}
+		})
+	}
+}
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -15,6 +15,7 @@
 	"cactusspoke/internal/kv"
 	"cactusspoke/internal/poison"
 	"cactusspoke/internal/pool"
+	"cactusspoke/internal/reach"
 	"cactusspoke/internal/routetable"
 	"cactusspoke/internal/streamorigin"
 
@@ -73,6 +74,8 @@
 	errorResponse *bufferedResponse
 	// reason describes the failure of the last attempt.
 	reason string
+	// noPath is set if neither this instance nor a peer reaches a server.
+	noPath bool
 	// limitWait is how long the limits of all servers allow no further request.
 	limitWait time.Duration
 }
@@ -111,15 +114,30 @@
 		s.respondError(c, r, http.StatusServiceUnavailable, 0, "request crashed several servers")
 		return
 	}
+	service := r.route.PickService(rand.Float64())
+	state := &forwardState{triedServers: map[string]bool{}}
+	if s.verdict(r, service) == reach.Relay && s.forwardToPeers(ctx, c, r, state, service) == attemptDone {
+		return
+	}
 	if !s.findOrigin(ctx, c, r) {
 		return
 	}
-	service := r.route.PickService(rand.Float64())
 	if r.resumesAt != nil {
 		service = r.resumesAt.Service
 	}
-	state := &forwardState{triedServers: map[string]bool{}}
-	for ctx.Err() == nil && state.failures < r.route.MaxAttempts && state.rejections < r.route.MaxAttempts+maxExtraRejections {
+	for ctx.Err() == nil && s.mayTryAgain(r, state) {
+		verdict := s.verdict(r, service)
+		if verdict == reach.Refuse {
+			state.noPath = true
+			break
+		}
+		if verdict == reach.Relay {
+			if s.forwardToPeers(ctx, c, r, state, service) == attemptDone {
+				return
+			}
+			state.rejections++
+			continue
+		}
 		handle, ok := s.acquire(ctx, r, state, service)
 		if !ok {
 			if state.rejections == 0 || state.mayHaveRun || state.limitWait > 0 {
@@ -149,12 +167,20 @@
 				state.connectionLosses++
 			}
 			if !r.route.Idempotent() {
-				s.respondFailure(ctx, c, r, state, fingerprint)
+				s.respondFailure(ctx, c, r, state, service, fingerprint)
 				return
 			}
 		}
 	}
-	s.respondFailure(ctx, c, r, state, fingerprint)
+	s.respondFailure(ctx, c, r, state, service, fingerprint)
+}
+
+// mayTryAgain reports whether another attempt is allowed.
+func (s *Server) mayTryAgain(r *callerRequest, state *forwardState) bool {
+	if state.mayHaveRun && !r.route.Idempotent() {
+		return false
+	}
+	return state.failures < r.maxAttempts && state.rejections < r.route.MaxAttempts+maxExtraRejections
 }
 
 // acquire selects a server for the next attempt. If the limits of all servers are
@@ -193,13 +219,17 @@
 }
 
 // respondFailure sends the final response to a request that failed on all servers.
-func (s *Server) respondFailure(_ context.Context, c *app.RequestContext, r *callerRequest, state *forwardState, fingerprint poison.Fingerprint) {
+func (s *Server) respondFailure(_ context.Context, c *app.RequestContext, r *callerRequest, state *forwardState, service string, fingerprint poison.Fingerprint) {
 	// Only reported when no attempt succeeded: a request that another server serves
-	// did not cause the earlier connection losses.
-	for range state.connectionLosses {
-		s.Poison.ReportCrash(fingerprint)
+	// did not cause the earlier connection losses. Nor did it if the paths are lost.
+	if !s.Reach.Knowledge(service).Lost() {
+		for range state.connectionLosses {
+			s.Poison.ReportCrash(fingerprint)
+		}
 	}
 	switch {
+	case state.noPath && !state.mayHaveRun:
+		s.respondError(c, r, http.StatusServiceUnavailable, retryAfterNoPath, "no path to the servers")
 	case state.errorResponse != nil:
 		s.writeResponse(c, r, state.errorResponse)
 	case !state.mayHaveRun:
@@ -234,7 +264,7 @@
 			return attemptNotRun
 		}
 		state.connectionLost = ctx.Err() == nil
-		s.releaseBroken(ctx, handle)
+		releaseBroken(ctx, handle.Release)
 		s.meterOnce(r, state, sentAt)
 		return attemptFailed
 	}
@@ -254,9 +284,9 @@
 		if r.route.Resumable && r.resumesAt == nil {
 			s.Streams.Begin(r.id, streamorigin.Origin{Service: server.Service, Software: server.Software}, r.route.Services())
 		}
-		return s.forwardStream(ctx, c, r, handle, response)
+		return s.forwardStream(ctx, c, r, server.ID, handle.Release, response)
 	}
-	return s.forwardBuffered(ctx, c, r, state, handle, response)
+	return s.forwardBuffered(ctx, c, r, state, 1, handle.Release, response)
 }
 
 // attemptDeadline returns the deadline of the next attempt. On a route whose
@@ -264,7 +294,7 @@
 // part of the remaining time, so that a slow server can be replaced.
 func (s *Server) attemptDeadline(r *callerRequest, state *forwardState) time.Time {
 	last := r.deadline.Add(-responseMargin)
-	if r.route.Kind != routetable.Safe || state.failures+1 >= r.route.MaxAttempts {
+	if r.route.Kind != routetable.Safe || state.failures+1 >= r.maxAttempts {
 		return last
 	}
 	timeout := max(minAttemptTimeout, time.Duration(attemptTimeoutFactor*float64(r.route.LatencyObjective)))
@@ -277,12 +307,12 @@
 
 // releaseBroken releases a server whose response was not completed. A canceled
 // request is no evidence against the server.
-func (s *Server) releaseBroken(ctx context.Context, handle *pool.Handle) {
+func releaseBroken(ctx context.Context, release func(pool.Outcome)) {
 	if errors.Is(ctx.Err(), context.Canceled) {
-		handle.Release(pool.Abandoned)
+		release(pool.Abandoned)
 		return
 	}
-	handle.Release(pool.Failed)
+	release(pool.Failed)
 }
 
 // handleRejection releases a server that responded without running the request.
@@ -367,7 +397,7 @@
 // isReservedHeader reports whether a caller's header is not forwarded because it
 // holds the API key or may be set only by the instance.
 func (s *Server) isReservedHeader(name string) bool {
-	for _, reserved := range []string{"Authorization", relayedHeader, s.Headers.DeadlineMS, s.Headers.ExpectInstance, s.Headers.Customer} {
+	for _, reserved := range []string{"Authorization", relayedHeader, attemptsHeader, s.Headers.DeadlineMS, s.Headers.ExpectInstance, s.Headers.Customer} {
 		if strings.EqualFold(name, reserved) {
 			return true
 		}
@@ -376,25 +406,25 @@
 }
 
 // forwardBuffered reads a server's whole response and checks it before any of it
-// is sent to the caller.
-func (s *Server) forwardBuffered(ctx context.Context, c *app.RequestContext, r *callerRequest, state *forwardState, handle *pool.Handle, response *http1.Response) attemptResult {
-	body, release, err := s.readBody(response)
-	defer release()
+// is sent to the caller. attempts is how many attempts it took; release releases the server.
+func (s *Server) forwardBuffered(ctx context.Context, c *app.RequestContext, r *callerRequest, state *forwardState, attempts int, release func(pool.Outcome), response *http1.Response) attemptResult {
+	body, freeMemory, err := s.readBody(response)
+	defer freeMemory()
 	if err != nil {
 		state.connectionLost = ctx.Err() == nil && !errors.Is(err, errOutOfMemory)
-		s.releaseBroken(ctx, handle)
+		releaseBroken(ctx, release)
 		state.reason = "incomplete response: " + err.Error()
 		return attemptFailed
 	}
 	status := response.Status()
 	if status < http.StatusBadRequest && response.Header(s.Headers.Signature) == "" {
-		handle.Release(pool.Failed)
+		release(pool.Failed)
 		state.reason = "response without a seal"
 		return attemptFailed
 	}
-	handle.Release(pool.Served)
+	release(pool.Served)
 	buffered := &bufferedResponse{status, response.Headers(), body}
-	if status >= http.StatusInternalServerError && r.route.Idempotent() && state.failures+1 < r.route.MaxAttempts {
+	if status >= http.StatusInternalServerError && r.route.Idempotent() && state.failures+attempts < r.maxAttempts {
 		state.errorResponse = buffered
 		state.reason = "backend server failed with status " + strconv.Itoa(status)
 		return attemptFailed
@@ -454,8 +484,8 @@
 
 // forwardStream sends events to the caller as they arrive. If the server's stream
 // is incomplete, the caller's connection is closed without the final chunk, so
-// that the caller can tell.
-func (s *Server) forwardStream(ctx context.Context, c *app.RequestContext, r *callerRequest, handle *pool.Handle, response *http1.Response) attemptResult {
+// that the caller can tell. sender names the server or peer; release releases it.
+func (s *Server) forwardStream(ctx context.Context, c *app.RequestContext, r *callerRequest, sender string, release func(pool.Outcome), response *http1.Response) attemptResult {
 	s.copyHeaders(c, response.Headers())
 	c.SetStatusCode(response.Status())
 	writer := resp.NewChunkedBodyWriter(&c.Response, c.GetWriter())
@@ -470,17 +500,17 @@
 			}
 			if writeErr != nil {
 				response.Abort()
-				handle.Release(pool.Abandoned)
+				release(pool.Abandoned)
 				return attemptDone
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			handle.Release(pool.Served)
+			release(pool.Served)
 			return attemptDone
 		}
 		if err != nil {
-			s.releaseBroken(ctx, handle)
-			s.Log.Info("request: stream broke off", zap.String("id", r.id), zap.String("server", handle.Server().ID), zap.String("reason", err.Error()))
+			releaseBroken(ctx, release)
+			s.Log.Info("request: stream broke off", zap.String("id", r.id), zap.String("server", sender), zap.String("reason", err.Error()))
 			_ = c.GetConn().Close()
 			return attemptDone
 		}
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"time"
 
 	"cactusspoke/internal/http1"
@@ -15,6 +16,9 @@
 	// relayedHeader marks a request that was relayed by another entry instance.
 	// Such a request is not relayed again.
 	relayedHeader = "X-Cactusspoke-Relayed"
+	// attemptsHeader limits the attempts of the instance that gets a relayed request, so
+	// that all instances together keep within the route's.
+	attemptsHeader = "X-Cactusspoke-Attempts"
 	// maxRelayPeers limits the number of peers to which a request is relayed.
 	maxRelayPeers = 3
 	// relayTimeout limits the time for one peer, in addition to the time for which
@@ -25,17 +29,10 @@
 // relay forwards a request about a job to other entry instances, since these may
 // reach the store when this one cannot. It reports whether a peer responded.
 func (s *Server) relay(ctx context.Context, c *app.RequestContext, r *callerRequest) bool {
-	if len(c.Request.Header.Peek(relayedHeader)) > 0 {
+	if r.relayed {
 		return false
 	}
-	request := &http1.Request{Method: r.method, URI: r.requestURI, Host: r.host, Body: c.Request.Body()}
-	c.Request.Header.VisitAll(func(name, value []byte) {
-		if isHopByHop(string(name)) {
-			return
-		}
-		request.Headers = append(request.Headers, http1.Header{Name: string(name), Value: string(value)})
-	})
-	request.Headers = append(request.Headers, http1.Header{Name: relayedHeader, Value: "1"})
+	request := s.peerRequest(c, r)
 	attempts := 0
 	for _, address := range s.Directory.Peers(s.Address) {
 		if attempts == maxRelayPeers || ctx.Err() != nil {
@@ -49,6 +46,20 @@
 	return false
 }
 
+// peerRequest returns the request as it is relayed to another instance. The peer handles
+// it like a request of the caller, whose API key it carries.
+func (s *Server) peerRequest(c *app.RequestContext, r *callerRequest) *http1.Request {
+	request := &http1.Request{Method: r.method, URI: r.requestURI, Host: r.host, Body: c.Request.Body()}
+	c.Request.Header.VisitAll(func(name, value []byte) {
+		if isHopByHop(string(name)) || strings.EqualFold(string(name), attemptsHeader) {
+			return
+		}
+		request.Headers = append(request.Headers, http1.Header{Name: string(name), Value: string(value)})
+	})
+	request.Headers = append(request.Headers, http1.Header{Name: relayedHeader, Value: "1"})
+	return request
+}
+
 // relayToPeer forwards a request to one peer and copies its response. Server
 // errors are not copied, since another peer may succeed.
 func (s *Server) relayToPeer(ctx context.Context, c *app.RequestContext, r *callerRequest, address string, request *http1.Request) bool {
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -86,6 +86,8 @@
 	closeConnections atomic.Bool
 	active           atomic.Int64
 	buffered         atomic.Int64
+	relayedRequests  atomic.Int64
+	peerPauses       pauses
 }
 
 // New returns a server.
@@ -140,6 +142,10 @@
 	route      *routetable.Route
 	customer   string
 	deadline   time.Time
+	// relayed means that another entry instance relayed the request.
+	relayed bool
+	// maxAttempts limits the attempts that may run the request.
+	maxAttempts int
 	// resumesAt is the origin of the stream that the request resumes; nil if it resumes
 	// none.
 	resumesAt *streamorigin.Origin
@@ -180,6 +186,7 @@
 		return
 	}
 	r.deadline = s.requestDeadline(c, r)
+	r.maxAttempts = attemptLimit(c, r)
 	if route.Kind == routetable.Rollout {
 		s.submitJob(ctx, c, r)
 		return
@@ -194,10 +201,21 @@
 	return &callerRequest{
 		receivedAt: time.Now(), method: string(c.Method()), requestURI: requestURI, path: path,
 		host: string(c.Request.Header.Host()),
-		id:   string(c.Request.Header.Peek(s.Headers.RequestID)),
+		id:      string(c.Request.Header.Peek(s.Headers.RequestID)),
+		relayed: len(c.Request.Header.Peek(relayedHeader)) > 0,
 	}
 }
 
+// attemptLimit returns how many attempts may run a request: those of its route, or fewer
+// if an instance that relayed it has used some.
+func attemptLimit(c *app.RequestContext, r *callerRequest) int {
+	limit, err := strconv.Atoi(string(c.Request.Header.Peek(attemptsHeader)))
+	if !r.relayed || err != nil {
+		return r.route.MaxAttempts
+	}
+	return max(1, min(limit, r.route.MaxAttempts))
+}
+
 // authenticate sets the customer that the caller's API key belongs to. It
 // responds with 401 and returns false if the key is missing or unknown.
 func (s *Server) authenticate(c *app.RequestContext, r *callerRequest, table *routetable.Table, public bool) bool {
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -41,6 +41,7 @@
 	t            *testing.T
 	store        *standin.Store
 	cloud        *standin.CloudAPI
+	network      *standin.Network
 	engines      []*standin.BackendServer
 	plainServers []*standin.BackendServer
 	entries      []*process
@@ -80,12 +81,14 @@
 
 func newCluster(t *testing.T, entries, schedulers int) *cluster {
 	t.Helper()
-	c := &cluster{t: t, store: standin.NewStore(), cloud: standin.NewCloudAPI(), replicaPort: freePort(t)}
+	c := &cluster{t: t, store: standin.NewStore(), cloud: standin.NewCloudAPI(), network: standin.NewNetwork(), replicaPort: freePort(t)}
 	t.Cleanup(c.cloud.Close)
 	t.Cleanup(c.store.Close)
 	for i := range 2 {
 		c.engines = append(c.engines, standin.NewBackendServer(c.store, fmt.Sprintf("engine-%d", i), "engines", zone, map[string]int64{model: 1}))
 		c.plainServers = append(c.plainServers, standin.NewBackendServer(c.store, fmt.Sprintf("plain-%d", i), "plain", zone, nil))
+		c.network.AddServer(c.engines[i].Address)
+		c.network.AddServer(c.plainServers[i].Address)
 	}
 	for i := range entries {
 		c.entries = append(c.entries, c.start(fmt.Sprintf("entry-%d", i), i, true))
@@ -136,7 +139,9 @@
 	var run func(context.Context) error
 	if entry {
 		s.FrontAddress, s.ReadyAddress, s.DirectoryAddress = onIP(s.IP, freeAddress(c.t)), freeAddress(c.t), freeAddress(c.t)
-		run = node.NewEntry(s, platform.Adapter(), telemetry.NewRegistry(), log).Run
+		adapter := platform.Adapter()
+		adapter.DialServers = c.network.Dialer(name)
+		run = node.NewEntry(s, adapter, telemetry.NewRegistry(), log).Run
 	} else {
 		run = node.NewScheduler(s, platform.Adapter(), telemetry.NewRegistry(), log).Run
 	}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -107,7 +107,7 @@
 	if e.adapter.DialServers != nil {
 		backends.UseDialer(e.adapter.DialServers)
 	}
-	paths := reach.NewMonitor(reach.Config{Addresses: serverPool.Addresses, Connect: backends.Connect, Metrics: e.metrics, Log: e.log})
+	paths := reach.NewMonitor(reach.Config{Addresses: serverPool.Addresses, Connect: backends.Connect, Restored: serverPool.ForgetFailures, Metrics: e.metrics, Log: e.log})
 	backends.Observe(http1.Combine(pool.NewObserver(func() *pool.Pool { return serverPool }, e.adapter.Headers, e.metrics, false), paths.Observer()))
 	members := ratelimit.NewMembers(directory.Prefix)
 	serverPool.UseShares(limitShares(s.Name, false, view, members))
@@ -150,7 +150,7 @@
 	defer stopRegistration()
 	components.start("registration", func(context.Context) error {
 		pollUntil(registrationCtx, func() bool { return view.Table() != nil })
-		return directory.NewRegistration(store, s.Name, s.FrontAddress, s.FailureDomain, replicas.follower.Direct, e.log).Run(registrationCtx)
+		return directory.NewRegistration(store, s.Name, s.FrontAddress, s.FailureDomain, replicas.follower.Direct, paths.Lost, e.log).Run(registrationCtx)
 	})
 	components.start("streams", streams.Run)
 	usageCtx, stopUsage := context.WithCancel(context.Background())
--- a/internal/node/software_test.go
+++ b/internal/node/software_test.go
@@ -22,6 +22,7 @@
 	w := standin.NewBackendServer(c.store, fmt.Sprintf("engine-%d", len(c.engines)), "engines", zone, map[string]int64{model: 1})
 	w.SetSoftware(software, zone)
 	c.engines = append(c.engines, w)
+	c.network.AddServer(w.Address)
 	return w
 }
 
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -416,6 +416,18 @@
 	return out
 }
 
+// ForgetFailures ends the ejections of the servers of a service. Their failures were those
+// of the path to them.
+func (p *Pool) ForgetFailures(service string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.servers {
+		if s.server.Service == service {
+			s.consecutiveFailures, s.ejectedUntil, s.latencyAt = 0, time.Time{}, time.Time{}
+		}
+	}
+}
+
 // UpdateWeightVersion records the version of a model's weights that a server reported in a
 // response, if it is newer than the version in its registration.
 func (p *Pool) UpdateWeightVersion(id, model string, version int64) {
--- a/internal/reach/monitor.go
+++ b/internal/reach/monitor.go
@@ -25,6 +25,9 @@
 	checkInterval = time.Second
 	// recheckInterval is the time between two checks while the paths count as lost.
 	recheckInterval = 400 * time.Millisecond
+	// announcedTime is how long a service is announced as lost after its paths were lost
+	// last. Callers are not sent back and forth while a cut comes and goes.
+	announcedTime = 2 * time.Second
 	// checkedServers is the number of servers that one check connects to, beside up to
 	// checkedSuspects that failed requests. More would burden the servers when all instances
 	// return at once.
@@ -38,6 +41,8 @@
 	Addresses func(service string) []string
 	// Connect opens a connection to an address and keeps it for later requests.
 	Connect func(ctx context.Context, address string) error
+	// Restored is called without locks held when the paths to a service are back.
+	Restored func(service string)
 	Metrics *telemetry.Registry
 	Log     *zap.Logger
 }
@@ -64,6 +69,7 @@
 	// suspects holds when requests to addresses failed without a response.
 	suspects  map[string]time.Time
 	lost      bool
+	lostAt    time.Time
 	checking  bool
 	checkedAt time.Time
 }
@@ -142,13 +148,13 @@
 	return k
 }
 
-// Lost returns the services to which the paths are lost, sorted.
+// Lost returns the services to which the paths are lost or were until just now, sorted.
 func (m *Monitor) Lost() []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var lost []string
 	for name, s := range m.services {
-		if s.lost {
+		if s.lost || time.Since(s.lostAt) < announcedTime {
 			lost = append(lost, name)
 		}
 	}
@@ -243,6 +249,12 @@
 // update brings the state of each service up to date, drops old evidence and reports
 // whether the paths to any service are lost.
 func (m *Monitor) update() bool {
+	var restored []string
+	defer func() {
+		for _, service := range restored {
+			m.config.Restored(service)
+		}
+	}()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := time.Now()
@@ -254,8 +266,12 @@
 			m.config.Log.Info("reach: paths to servers", zap.String("service", name), zap.Bool("lost", lost),
 				zap.Int("up", k.Up), zap.Int("down", k.Down), zap.Int("servers", k.Servers))
 		}
+		if s.lost && !lost {
+			restored = append(restored, name)
+		}
 		s.lost = lost
 		if lost {
+			s.lostAt = now
 			anyLost++
 		}
 	}
--- a/internal/reach/monitor_test.go
+++ b/internal/reach/monitor_test.go
@@ -27,7 +27,7 @@
 
 func startNetwork(ctx context.Context, servers int) *network {
 	n := &network{servers: servers, cut: func(int) bool { return false }}
-	n.monitor = NewMonitor(Config{Addresses: n.addresses, Connect: n.connect, Metrics: telemetry.NewRegistry(), Log: zap.NewNop()})
+	n.monitor = NewMonitor(Config{Addresses: n.addresses, Connect: n.connect, Restored: func(string) {}, Metrics: telemetry.NewRegistry(), Log: zap.NewNop()})
 	go func() { _ = n.monitor.Run(ctx) }()
 	return n
 }
@@ -125,6 +125,7 @@
 				n.set(none, false)
 				n.run(time.Second)
 				require.False(t, n.lost())
+				n.run(announcedTime)
 				require.Empty(t, n.monitor.Lost())
 			})
 		})
