Servers that say in their responses that they are leaving get no more requests (DRAIN)

Cause: the header was not read. A draining mark came from the registration alone, and a registration that lapses and comes back began with a fresh state. Change: the observer of each client that sends to servers reads the header, for requests, streams, items, rewards, reports and orders. The mark holds for the incarnation (id and start) and outlives registrations, pools and terms of the holder; a server whose registration is gone is known by its address. A relayed response names its server to the relaying instance. AcquireServer refuses draining servers: it could still get an item that was placed before the mark.

--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -82,6 +82,7 @@
 
 // bufferedResponse is a backend server's response that was read whole.
 type bufferedResponse struct {
+	sender string
 	status int
 	header http.Header
 	body   []byte
@@ -286,7 +287,7 @@
 		}
 		return s.forwardStream(ctx, c, r, server.ID, handle.Release, response)
 	}
-	return s.forwardBuffered(ctx, c, r, state, 1, handle.Release, response)
+	return s.forwardBuffered(ctx, c, r, state, 1, server.ID, handle.Release, response)
 }
 
 // attemptDeadline returns the deadline of the next attempt. On a route whose
@@ -406,8 +407,9 @@
 }
 
 // forwardBuffered reads a server's whole response and checks it before any of it
-// is sent to the caller. attempts is how many attempts it took; release releases the server.
-func (s *Server) forwardBuffered(ctx context.Context, c *app.RequestContext, r *callerRequest, state *forwardState, attempts int, release func(pool.Outcome), response *http1.Response) attemptResult {
+// is sent to the caller. attempts is how many attempts it took, sender names the server or
+// peer, and release releases it.
+func (s *Server) forwardBuffered(ctx context.Context, c *app.RequestContext, r *callerRequest, state *forwardState, attempts int, sender string, release func(pool.Outcome), response *http1.Response) attemptResult {
 	body, freeMemory, err := s.readBody(response)
 	defer freeMemory()
 	if err != nil {
@@ -423,7 +425,7 @@
 		return attemptFailed
 	}
 	release(pool.Served)
-	buffered := &bufferedResponse{status, response.Headers(), body}
+	buffered := &bufferedResponse{sender, status, response.Headers(), body}
 	if status >= http.StatusInternalServerError && r.route.Idempotent() && state.failures+attempts < r.maxAttempts {
 		state.errorResponse = buffered
 		state.reason = "backend server failed with status " + strconv.Itoa(status)
@@ -461,6 +463,7 @@
 // writeResponse sends a buffered response to the caller unchanged.
 func (s *Server) writeResponse(c *app.RequestContext, r *callerRequest, response *bufferedResponse) {
 	s.copyHeaders(c, response.header)
+	nameServer(c, r, response.sender)
 	c.SetStatusCode(response.status)
 	c.Response.SetBodyRaw(response.body)
 	if response.status >= http.StatusInternalServerError {
@@ -469,11 +472,18 @@
 	}
 }
 
+// nameServer tells the instance that relayed a request which server responds.
+func nameServer(c *app.RequestContext, r *callerRequest, server string) {
+	if r.relayed {
+		c.Response.Header.Set(serverHeader, server)
+	}
+}
+
 // copyHeaders adds the end-to-end headers of a response to the caller's response.
 func (s *Server) copyHeaders(c *app.RequestContext, header http.Header) {
 	options := connectionOptions(header.Get("Connection"))
 	for name, values := range header {
-		if isHopByHop(name) || options[strings.ToLower(name)] {
+		if isHopByHop(name) || options[strings.ToLower(name)] || strings.EqualFold(name, serverHeader) {
 			continue
 		}
 		for _, value := range values {
@@ -487,6 +497,7 @@
 // that the caller can tell. sender names the server or peer; release releases it.
 func (s *Server) forwardStream(ctx context.Context, c *app.RequestContext, r *callerRequest, sender string, release func(pool.Outcome), response *http1.Response) attemptResult {
 	s.copyHeaders(c, response.Headers())
+	nameServer(c, r, sender)
 	c.SetStatusCode(response.Status())
 	writer := resp.NewChunkedBodyWriter(&c.Response, c.GetWriter())
 	c.Response.HijackWriter(writer)
--- a/internal/ingress/peer.go
+++ b/internal/ingress/peer.go
@@ -141,10 +141,13 @@
 	if response.Header(s.Headers.Signature) == "" && status >= http.StatusBadRequest {
 		return s.handlePeerError(response, state, address, failed)
 	}
+	if response.Header(s.Headers.Leaving) == pool.LeavingValue {
+		s.Pool.MarkLeaving(response.Header(serverHeader))
+	}
 	if r.route.Kind == routetable.Streaming && status == http.StatusOK {
 		return s.forwardStream(ctx, c, r, "peer "+address, func(pool.Outcome) {}, response)
 	}
-	result := s.forwardBuffered(ctx, c, r, state, attempts, func(pool.Outcome) {}, response)
+	result := s.forwardBuffered(ctx, c, r, state, attempts, "peer "+address, func(pool.Outcome) {}, response)
 	if result == attemptFailed {
 		return failed(state.reason)
 	}
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -19,6 +19,8 @@
 	// attemptsHeader limits the attempts of the instance that gets a relayed request, so
 	// that all instances together keep within the route's.
 	attemptsHeader = "X-Cactusspoke-Attempts"
+	// serverHeader names the backend server in the response to a relayed request.
+	serverHeader = "X-Cactusspoke-Server"
 	// maxRelayPeers limits the number of peers to which a request is relayed.
 	maxRelayPeers = 3
 	// relayTimeout limits the time for one peer, in addition to the time for which
--- a/internal/node/scheduler.go
+++ b/internal/node/scheduler.go
@@ -53,10 +53,12 @@
 	active atomic.Pointer[scheduler.Scheduler]
 	// pool is that of the current or last term.
 	pool atomic.Pointer[pool.Pool]
+	// departures are shared by the pools of all terms.
+	departures *pool.Departures
 }
 
 func NewScheduler(settings *Settings, adapter Adapter, metrics *telemetry.Registry, log *zap.Logger) *Scheduler {
-	n := &Scheduler{settings: settings, adapter: adapter, metrics: metrics, log: log, backends: http1.NewClient(), clock: walltime.New()}
+	n := &Scheduler{settings: settings, adapter: adapter, metrics: metrics, log: log, backends: http1.NewClient(), clock: walltime.New(), departures: pool.NewDepartures()}
 	n.backends.Observe(n.observer(false))
 	return n
 }
@@ -121,6 +123,7 @@
 	s := n.settings
 	fence := candidate.Fence()
 	serverPool := pool.New(n.adapter.DecodeServer, n.log, n.notifyActive)
+	serverPool.UseDepartures(n.departures)
 	config := scheduler.Config{
 		Headers: n.adapter.Headers, View: view, Pool: serverPool, Backends: n.backends,
 		Jobs: batch.NewJobStore(store, s.MaxValueBytes), Fence: func() kv.Condition { return fence }, IsHolder: candidate.IsHolder,
--- a/internal/pool/limit.go
+++ b/internal/pool/limit.go
@@ -73,8 +73,8 @@
 }
 
 // NewObserver returns the observer of a client that sends to the servers of the current
-// pool, which may be nil. It counts the requests to each server and reads the limits that
-// the servers name. control means that the requests are not acquired from the pool, but
+// pool, which may be nil. It counts the requests to each server and reads what the servers
+// say of their limits and that they are leaving. control means that the requests are not acquired from the pool, but
 // delay those that are.
 func NewObserver(current func() *Pool, headers protocol.Headers, metrics *telemetry.Registry, control bool) http1.Observer {
 	return http1.Observer{
@@ -86,6 +86,7 @@
 		Answered: func(address string, status int, header http.Header) {
 			if p := current(); p != nil && status != http.StatusMisdirectedRequest {
 				p.readLimit(address, header.Get(headers.RateLimit), header.Get(headers.RequestID) != "")
+				p.readLeaving(address, header.Get(headers.Leaving))
 			}
 		},
 	}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -65,7 +65,10 @@
 	log     *zap.Logger
 	servers map[string]*serverState
 	// addresses maps the address of each server to its key.
-	addresses      map[string]string
+	addresses map[string]string
+	// formerHolders holds the last server that was removed from each address.
+	formerHolders  map[string]incarnation
+	departures     *Departures
 	reachable      bool
 	reachableSince time.Time
 	onChange       func()
@@ -84,7 +87,7 @@
 // New returns an empty pool. onChange is called without locks held after
 // servers were added, removed or updated.
 func New(decode DecodeFunc, log *zap.Logger, onChange func()) *Pool {
-	return &Pool{decode: decode, log: log, servers: map[string]*serverState{}, addresses: map[string]string{}, onChange: onChange, software: sightings{}, startedAt: time.Now()}
+	return &Pool{decode: decode, log: log, servers: map[string]*serverState{}, addresses: map[string]string{}, formerHolders: map[string]incarnation{}, departures: NewDepartures(), onChange: onChange, software: sightings{}, startedAt: time.Now()}
 }
 
 // Reset replaces the registrations by a complete list.
@@ -169,6 +172,7 @@
 		p.log.Warn("pool: invalid server registration ignored", zap.String("key", item.Key), zap.String("reason", err.Error()))
 		return
 	}
+	server.Draining = server.Draining || p.departures.has(server)
 	s, ok := p.servers[item.Key]
 	if !ok || s.server.Born != server.Born || s.server.Address != server.Address || s.server.Service != server.Service {
 		p.log.Info("pool: server added", zap.String("server", server.ID), zap.String("service", server.Service),
@@ -205,6 +209,10 @@
 		p.log.Info("pool: server removed", zap.String("server", s.server.ID))
 		p.software.see(s.server.Service, s.server.Software, now)
 		p.unindexAddress(key, s.server)
+		if len(p.formerHolders) >= maxDepartures {
+			clear(p.formerHolders)
+		}
+		p.formerHolders[s.server.Address] = incarnation{s.server.ID, s.server.Born}
 		delete(p.servers, key)
 	}
 }
@@ -446,14 +454,14 @@
 	}
 }
 
-// AcquireServer selects a server by its id. It fails if the server's limit allows no
-// request now.
+// AcquireServer selects a server by its id. It fails if the server is leaving or its limit
+// allows no request now.
 func (p *Pool) AcquireServer(id string) (*Handle, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
 	for _, s := range p.servers {
-		if s.server.ID == id && !s.misdirected && (!s.limited || p.pacer(s, now).Allows(now)) {
+		if s.server.ID == id && !s.server.Draining && !s.misdirected && (!s.limited || p.pacer(s, now).Allows(now)) {
 			return p.take(s, now), true
 		}
 	}
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -33,6 +33,8 @@
 	// server accepts from all clients combined. The limit holds while its responses have
 	// this header.
 	RateLimit string
+	// Leaving is "1" in all responses of a backend server that is about to leave.
+	Leaving string
 	// LengthHint is the caller's estimate of the number of output tokens.
 	LengthHint string
 	// LastEventID is the ID of the event after which a stream resumes.
