--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -200,7 +200,7 @@
 	path, _, _ := strings.Cut(requestURI, "?")
 	return &callerRequest{
 		receivedAt: time.Now(), method: string(c.Method()), requestURI: requestURI, path: path,
-		host: string(c.Request.Header.Host()),
+		host:    string(c.Request.Header.Host()),
 		id:      string(c.Request.Header.Peek(s.Headers.RequestID)),
 		relayed: len(c.Request.Header.Peek(relayedHeader)) > 0,
 	}
--- a/internal/node/leaving_test.go
+++ b/internal/node/leaving_test.go
@@ -97,6 +97,7 @@
 	c.network.SetCut(cut.settings.Name, standin.Reset)
 	leaving := c.plainServers[0]
 	leaving.SayLeaving()
+	c.plainServers[1].SetDelay(50 * time.Millisecond) // so that the other one is preferred
 	n := 0
 	told := func() bool {
 		n++
--- a/internal/reach/monitor.go
+++ b/internal/reach/monitor.go
@@ -43,8 +43,8 @@
 	Connect func(ctx context.Context, address string) error
 	// Restored is called without locks held when the paths to a service are back.
 	Restored func(service string)
-	Metrics *telemetry.Registry
-	Log     *zap.Logger
+	Metrics  *telemetry.Registry
+	Log      *zap.Logger
 }
 
 // Monitor collects evidence on the paths to servers from requests and, after failures,
