--- a/internal/http1/client_test.go
+++ b/internal/http1/client_test.go
@@ -240,3 +240,23 @@
 	require.NoError(t, ctx.Err())
 	<-closed
 }
+
+// TestHeadBrokenOff guards against responses that end within their head and would be taken
+// for whole ones with an empty or short body.
+func TestHeadBrokenOff(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\nContent-Type: text/plain\r\nContent-Length: 12\r\n\r\n"
+	for length := range len(head) {
+		for _, reset := range []bool{false, true} {
+			server := newScriptedServer(t, func(_ int64, c net.Conn, _ *http.Request) {
+				_, _ = io.WriteString(c, head[:length])
+				if reset {
+					_ = c.(*net.TCPConn).SetLinger(0)
+				}
+				_ = c.Close()
+			})
+			_, err := http1.NewClient().Do(t.Context(), server.address, &http1.Request{Method: "GET", URI: "/", Host: "h"})
+			require.Error(t, err, "after %q", head[:length])
+			require.False(t, http1.NotSent(err))
+		}
+	}
+}
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -53,6 +53,9 @@
 		s.respondError(c, r, http.StatusNotFound, 0, "no such job")
 		return true
 	}
+	if s.refusedWhileStopping(c, r, r.receivedAt.Add(jobCallTime)) {
+		return true
+	}
 	ctx, cancel := context.WithTimeout(ctx, jobRequestTimeout)
 	defer cancel()
 	if !s.StoreReachable() && s.relay(ctx, c, r) {
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -82,7 +82,11 @@
 // Server handles the requests of callers.
 type Server struct {
 	Config
-	draining         atomic.Bool
+	// stopping is set once the instance stops.
+	stopping atomic.Pointer[stopPlan]
+	// requestsEnd ends when the remaining requests of an instance that stops are ended.
+	requestsEnd      context.Context
+	endRequests      context.CancelFunc
 	closeConnections atomic.Bool
 	active           atomic.Int64
 	buffered         atomic.Int64
@@ -91,11 +95,10 @@
 }
 
 // New returns a server.
-func New(config Config) *Server { return &Server{Config: config} }
-
-// Drain makes the readiness check fail and stops address lookups from falling
-// back to this instance. Requests are still served.
-func (s *Server) Drain() { s.draining.Store(true) }
+func New(config Config) *Server {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Server{Config: config, requestsEnd: ctx, endRequests: cancel}
+}
 
 // DisableKeepAlives disables keep-alive: each response closes its connection.
 func (s *Server) DisableKeepAlives() { s.closeConnections.Store(true) }
@@ -105,7 +108,7 @@
 
 // ServeReady handles the platform's readiness check.
 func (s *Server) ServeReady(_ context.Context, c *app.RequestContext) {
-	if s.draining.Load() || s.View.Table() == nil {
+	if s.stopping.Load() != nil || s.View.Table() == nil {
 		c.SetStatusCode(http.StatusServiceUnavailable)
 		return
 	}
@@ -119,7 +122,7 @@
 		return
 	}
 	addresses := s.Directory.Addresses(c.Query("Zone"))
-	if len(addresses) == 0 && !s.draining.Load() {
+	if len(addresses) == 0 && s.stopping.Load() == nil {
 		addresses = []string{s.Address}
 	}
 	if len(addresses) == 0 {
@@ -169,6 +172,8 @@
 		return
 	}
 	r := s.parseRequest(c)
+	ctx, cancel := s.untilStopped(ctx)
+	defer cancel()
 	if s.serveJobRequest(ctx, c, r, table) {
 		return
 	}
@@ -187,6 +192,13 @@
 	}
 	r.deadline = s.requestDeadline(c, r)
 	r.maxAttempts = attemptLimit(c, r)
+	longest := r.deadline
+	if route.Kind == routetable.Rollout {
+		longest = r.receivedAt.Add(jobCallTime)
+	}
+	if s.refusedWhileStopping(c, r, longest) {
+		return
+	}
 	if route.Kind == routetable.Rollout {
 		s.submitJob(ctx, c, r)
 		return
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -94,7 +94,7 @@
 // Run serves callers until the context is done and then shuts down gracefully:
 // it leaves the directory, waits until callers no longer use a cached address of
 // this instance, closes each connection after its response and lets running
-// requests finish.
+// requests finish. Requests that may last too long are refused meanwhile.
 func (e *Entry) Run(ctx context.Context) error {
 	workCtx, stopWork := context.WithCancel(context.Background())
 	defer stopWork()
@@ -159,9 +159,9 @@
 	e.log.Info("entry: started", zap.String("node", s.Name), zap.String("front", s.FrontAddress))
 	<-ctx.Done()
 	e.log.Info("entry: stopping", zap.Int64("active", frontServer.Active()))
-	frontServer.Drain()
-	stopRegistration()
 	deadline := time.Now().Add(s.ShutdownGrace - shutdownMargin)
+	frontServer.Stop(deadline)
+	stopRegistration()
 	drainTime := min(addressCacheFactor*addressTTL+addressCacheSlack, s.ShutdownGrace-2*shutdownMargin)
 	time.Sleep(drainTime / 2)
 	frontServer.DisableKeepAlives()
