reach: evidence counts from when a dial began; checks are rarer and keep one connection

Found by reading and by three_of_twelve, which failed with rarer checks: in one check the reachable servers answered before the others timed out, so they seemed to be known only from before the failure, and the paths counted as lost for a moment. Evidence of a dial now counts from its beginning. Slow servers cause checks too: at most one in two seconds, and a check keeps a connection only if there is no other. Old evidence is dropped without faults.

--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -112,8 +112,9 @@
 	// Answered is called with the head of each response.
 	Answered func(address string, status int, header http.Header)
 	// Dialed is called after each attempt to open a connection, unless it was given up
-	// before the server had time to respond. err is nil if the connection is open.
-	Dialed func(address string, err error)
+	// before the server had time to respond. It took some time; err is nil if the connection
+	// is open.
+	Dialed func(address string, took time.Duration, err error)
 }
 
 // Combine returns an observer that notifies several others.
@@ -133,10 +134,10 @@
 				}
 			}
 		},
-		Dialed: func(address string, err error) {
+		Dialed: func(address string, took time.Duration, err error) {
 			for _, o := range observers {
 				if o.Dialed != nil {
-					o.Dialed(address, err)
+					o.Dialed(address, took, err)
 				}
 			}
 		},
@@ -156,12 +157,19 @@
 // first request.
 func (c *Client) UseDialer(dial DialFunc) { c.dialer = dial }
 
-// Connect opens a connection to an address and keeps it for a later request.
+// Connect opens a connection to an address, to find out whether it can be reached. It keeps
+// the connection for a later request if there is no other.
 func (c *Client) Connect(ctx context.Context, address string) error {
 	cn, err := c.dial(ctx, address)
 	if err != nil {
 		return err
 	}
+	c.mu.Lock()
+	spare := len(c.idle[address]) > 0
+	c.mu.Unlock()
+	if spare {
+		return cn.Close()
+	}
 	c.putIdle(cn, maxIdleTime)
 	return nil
 }
@@ -279,9 +287,10 @@
 	defer cancel()
 	startedAt := time.Now()
 	inner, err := c.dialer(dialCtx, address)
-	givenUp := ctx.Err() != nil && time.Since(startedAt) < minDialWait
+	took := time.Since(startedAt)
+	givenUp := ctx.Err() != nil && took < minDialWait
 	if c.observer.Dialed != nil && !givenUp {
-		c.observer.Dialed(address, err)
+		c.observer.Dialed(address, took, err)
 	}
 	if err != nil {
 		return nil, Class.Wrap(err)
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -117,6 +117,7 @@
 	}
 	service := r.route.PickService(rand.Float64())
 	state := &forwardState{triedServers: map[string]bool{}}
+	// A peer looks for the origin of a resumed stream itself.
 	if s.verdict(r, service) == reach.Relay && s.forwardToPeers(ctx, c, r, state, service) == attemptDone {
 		return
 	}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -65,7 +65,7 @@
 	Meter          *meter.Meter
 	Poison         *poison.Tracker
 	Streams        *streamorigin.Records
-	// Paths tells which servers this instance reaches.
+	// Reach tells whether this instance reaches the servers of a service.
 	Reach   *reach.Monitor
 	Metrics *telemetry.Registry
 	Log     *zap.Logger
--- a/internal/reach/monitor.go
+++ b/internal/reach/monitor.go
@@ -21,10 +21,13 @@
 	evidenceMaxAge = 2 * time.Second
 	// suspicionMaxAge is how long a failed request counts towards a check.
 	suspicionMaxAge = time.Second
-	// checkInterval is the minimum time between two checks of a service.
-	checkInterval = time.Second
+	// checkInterval is the minimum time between two checks of a service. Slow servers cause
+	// checks as well, and these must not add to their load.
+	checkInterval = 2 * time.Second
 	// recheckInterval is the time between two checks while the paths count as lost.
 	recheckInterval = 400 * time.Millisecond
+	// pruneInterval is the time after which old evidence is dropped at the latest.
+	pruneInterval = 30 * time.Second
 	// announcedTime is how long a service is announced as lost after its paths were lost
 	// last. Callers are not sent back and forth while a cut comes and goes.
 	announcedTime = 2 * time.Second
@@ -39,7 +42,7 @@
 type Config struct {
 	// Addresses returns the addresses of the servers of a service that accept requests.
 	Addresses func(service string) []string
-	// Connect opens a connection to an address and keeps it for later requests.
+	// Connect opens a connection to an address and may keep it for a later request.
 	Connect func(ctx context.Context, address string) error
 	// Restored is called without locks held when the paths to a service are back.
 	Restored func(service string)
@@ -82,16 +85,23 @@
 // Observer returns an observer of the client that sends requests to servers.
 func (m *Monitor) Observer() http1.Observer {
 	return http1.Observer{
-		Answered: func(address string, _ int, _ http.Header) { m.record(address, true) },
-		Dialed:   func(address string, err error) { m.record(address, err == nil) },
+		Answered: func(address string, _ int, _ http.Header) { m.record(address, evidence{true, time.Now()}) },
+		Dialed: func(address string, took time.Duration, err error) {
+			// A server that cannot be reached could not be when the dial began.
+			m.record(address, evidence{err == nil, time.Now().Add(-took)})
+		},
 	}
 }
 
-// record records whether the server at an address was reachable.
-func (m *Monitor) record(address string, up bool) {
+// record records whether the server at an address was reachable, unless something later
+// is known.
+func (m *Monitor) record(address string, e evidence) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.paths[address] = evidence{up, time.Now()}
+	if e.at.Before(m.paths[address].at) {
+		return
+	}
+	m.paths[address] = e
 }
 
 // Suspect records that a request to a server of a service failed without a response.
@@ -131,17 +141,17 @@
 // first failure does not count: the path may have been lost since. The caller holds mu.
 func (m *Monitor) knowledge(addresses []string, now time.Time) Knowledge {
 	k := Knowledge{Servers: len(addresses)}
-	firstDown := now
+	firstDown := now.Add(-evidenceMaxAge)
 	for _, address := range addresses {
 		if e, known := m.paths[address]; known && !e.up && now.Sub(e.at) <= evidenceMaxAge {
-			k.Down++
-			if e.at.Before(firstDown) {
+			if k.Down == 0 || e.at.Before(firstDown) {
 				firstDown = e.at
 			}
+			k.Down++
 		}
 	}
 	for _, address := range addresses {
-		if e := m.paths[address]; e.up && now.Sub(e.at) <= evidenceMaxAge && (k.Down == 0 || e.at.After(firstDown)) {
+		if e := m.paths[address]; e.up && now.Sub(e.at) <= evidenceMaxAge && !e.at.Before(firstDown) {
 			k.Up++
 		}
 	}
@@ -165,14 +175,14 @@
 // Run checks services until the context ends.
 func (m *Monitor) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		var next <-chan time.Time
+		next := pruneInterval
 		if m.update() {
-			next = time.After(recheckInterval)
+			next = recheckInterval
 		}
 		select {
 		case <-ctx.Done():
 		case <-m.wake:
-		case <-next:
+		case <-time.After(next):
 		}
 		for service, addresses := range m.due() {
 			go m.check(ctx, service, addresses)
--- a/internal/reach/monitor_test.go
+++ b/internal/reach/monitor_test.go
@@ -54,13 +54,14 @@
 	cut, hangs := n.cut(i), n.hangs
 	n.mu.Unlock()
 	var err error
+	startedAt := time.Now()
 	if cut {
 		err = errors.New("unreachable")
 		if hangs {
 			time.Sleep(300 * time.Millisecond)
 		}
 	}
-	n.monitor.Observer().Dialed(address, err)
+	n.monitor.Observer().Dialed(address, time.Since(startedAt), err)
 	return err
 }
 
@@ -106,6 +107,7 @@
 		{"the only one", 1, all, true, true},
 		{"one of three", 3, func(i int) bool { return i == 0 }, true, false},
 		{"three of twelve", 12, func(i int) bool { return i < 3 }, false, false},
+		{"three of twelve, hung", 12, func(i int) bool { return i < 3 }, true, false},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
