--- a/scripts/breaks.sh
+++ b/scripts/breaks.sh
@@ -70,8 +70,8 @@
   's/return l.inFlight || l.unresolved > 0/return l.inFlight/' TestAnEarlierTry ./internal/forward
 check_mutation "I10 a lost connection counts as not run" internal/backendserver/client.go \
   's/return \&Error{ran: failure.RanUnknown, lost: !ended/return \&Error{ran: failure.RanNo, lost: !ended/' TestFaultMatrix/answer ./internal/forward
-check_mutation "I11 the HTTP library resends a request" internal/web/conn.go \
-  's/return data, connectionLost(err)/return data, err/' TestNoRequestIsSentTwice ./internal/web
+check_mutation "I11 the HTTP client resends a request" internal/http1/client.go \
+  's/return nil, \&Error{sent: true, cause: err}/return c.Do(ctx, address, r)/' TestNoRequestIsSentTwice ./internal/web
 check_mutation "I11 a segment written at a trimmed position counts" internal/claim/log.go \
   's/if time.Since(l.syncedAt) >= l.window\*3\/4 {/if false {/' TestFrozenWhileWriting ./internal/claim
 check_mutation "I11 a claim held by another instance is granted" internal/claim/log.go \
@@ -80,6 +80,12 @@
   's/if c.lifecycle.mayHaveRun() \&\& !c.request.idempotent {/if false {/; s/invariant.Check(invariant.AtMostOnce, c.request.idempotent ||/invariant.Check(invariant.AtMostOnce, true ||/' TestFaultMatrix ./internal/forward
 check_mutation "I12 a server's leaving state is reset" internal/fleet/fleet.go \
   's/	if i.Leaving() {/	e.leavingSince = time.Time{}\n	if i.Leaving() {/' TestFleet ./internal/fleet
+check_mutation "I12 a server that says it is leaving gets requests" internal/pool/leaving.go \
+  's/	s.server.Draining = true/	_ = s/' TestRequestsToLeavingServers/undisturbed ./internal/node
+check_mutation "paths: requests stay at an instance without paths" internal/reach/decision.go \
+  's/return Relay$/return Direct/' TestDecide ./internal/reach
+check_mutation "I13 late requests are taken in a planned stop" internal/ingress/stop.go \
+  's/return now.Sub(p.began) < .*/return true/' 'TestRequestsTakenWhileStopping' ./internal/ingress
 check_mutation "I13 the shutdown does not wait for open requests" internal/instance/instance.go \
   's/for time.Now().Before(deadline) \&\& i.busy() {/for false {/' TestProcessFaults/a_graceful ./internal/e2e
 check_mutation "I14 an older record replaces a newer one" internal/configuration/snapshot.go \
