--- a/internal/node/limit_test.go
+++ b/internal/node/limit_test.go
@@ -71,6 +71,12 @@
 			time.Sleep(3 * time.Second)
 			c.store.SetDown(false)
 		}},
+		{"an entry instance is cut off from the servers", func(c *cluster) {
+			time.Sleep(3 * time.Second)
+			c.network.SetCut(c.entries[0].settings.Name, standin.Reset)
+			time.Sleep(5 * time.Second)
+			c.network.SetCut(c.entries[0].settings.Name, standin.NoCut)
+		}},
 		{"new weights are published", func(c *cluster) {
 			for version := 2; version < 6; version++ {
 				time.Sleep(2 * time.Second)
--- a/internal/node/reach_test.go
+++ b/internal/node/reach_test.go
@@ -76,6 +76,35 @@
 	}
 }
 
+// TestPathsThatComeAndGo checks that callers of an instance are served while its paths are
+// lost and come back by turns, that no request runs more often than it may, and that the
+// store gets few writes for it.
+func TestPathsThatComeAndGo(t *testing.T) {
+	t.Parallel()
+	const flaps, halfPeriod = 4, 1200 * time.Millisecond
+	c := newCluster(t, 3, 1)
+	c.putConfig(1, nil)
+	c.waitReady()
+	cut := c.entries[0]
+	tries, served := 0, 0
+	for flap := range 2 * flaps {
+		how := []standin.Cut{standin.Hang, standin.NoCut, standin.Reset, standin.NoCut}[flap%4]
+		c.network.SetCut(cut.settings.Name, how)
+		for began := time.Now(); time.Since(began) < halfPeriod; time.Sleep(30 * time.Millisecond) {
+			path := []string{"/safe/x", "/unsafe/x"}[tries%2]
+			headers := map[string]string{platform.Headers().DeadlineMS: "800"}
+			if c.send(cut, http.MethodPost, path, fmt.Sprintf("r-%d", tries), key, nil, headers).status == http.StatusOK {
+				served++
+			}
+			tries++
+		}
+	}
+	require.GreaterOrEqual(t, 3*served, 2*tries, "%d of %d", served, tries)
+	c.requireAtMostOnce()
+	writes := strings.Count(cut.out.text(), "directory: lost services announced")
+	require.LessOrEqual(t, writes, 2*flaps)
+}
+
 // directly sends requests to an instance and reports whether it relayed none.
 func (c *cluster) directly(p *process, requests int) bool {
 	time.Sleep(logDelay)
