Peers are passed over only if they cannot be reached or reach no server

What callers saw (in the test): at an instance without paths, after four requests that full servers refused, or six callers that left, all requests were refused for a second although peers could serve them. Cause: any error of a relayed request paused the peer, also one that said nothing about it. Change: a peer is paused if its connection fails by itself, or if it says that it reaches no server either. A request is offered to peers twice at most, so that busy servers do not get it up to 18 times.

--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -74,6 +74,8 @@
 	errorResponse *bufferedResponse
 	// reason describes the failure of the last attempt.
 	reason string
+	// relayRounds counts how often the request was offered to peers.
+	relayRounds int
 	// noPath is set if neither this instance nor a peer reaches a server.
 	noPath bool
 	// limitWait is how long the limits of all servers allow no further request.
@@ -134,10 +136,12 @@
 			break
 		}
 		if verdict == reach.Relay {
+			if state.relayRounds == maxRelayRounds {
+				break
+			}
 			if s.forwardToPeers(ctx, c, r, state, service) == attemptDone {
 				return
 			}
-			state.rejections++
 			continue
 		}
 		handle, ok := s.acquire(ctx, r, state, service)
@@ -231,6 +235,9 @@
 	}
 	switch {
 	case state.noPath && !state.mayHaveRun:
+		if r.relayed {
+			c.Response.Header.Set(noPathHeader, "1")
+		}
 		s.respondError(c, r, http.StatusServiceUnavailable, retryAfterNoPath, "no path to the servers")
 	case state.errorResponse != nil:
 		s.writeResponse(c, r, state.errorResponse)
--- a/internal/ingress/peer.go
+++ b/internal/ingress/peer.go
@@ -18,9 +18,12 @@
 )
 
 const (
-	// peerPause is how long a peer gets no requests after it could not take one. Its
-	// own state reaches the directory within about that time.
+	// peerPause is how long a peer gets no requests after it could not be reached or reached
+	// no server itself. Its own state comes to the directory within about that time.
 	peerPause = time.Second
+	// maxRelayRounds limits how often a request is offered to maxRelayPeers peers. The
+	// second time, those that reach no server either are left out.
+	maxRelayRounds = 2
 	// maxRelayedRequests limits the requests that wait for peers at one time.
 	maxRelayedRequests = 512
 	// retryAfterNoPath is the Retry-After value while neither this instance nor a peer
@@ -81,6 +84,7 @@
 func (s *Server) forwardToPeers(ctx context.Context, c *app.RequestContext, r *callerRequest, state *forwardState, service string) attemptResult {
 	s.relayedRequests.Add(1)
 	defer s.relayedRequests.Add(-1)
+	state.relayRounds++
 	peers := s.relayPeers(r, service)
 	peers = peers[:min(maxRelayPeers, len(peers))]
 	for i, address := range peers {
@@ -125,7 +129,9 @@
 	}
 	response, err := s.Backends.Do(ctx, address, s.relayedRequest(c, r, deadline, attempts))
 	if err != nil {
-		s.peerPauses.add(address, time.Now())
+		if ctx.Err() == nil {
+			s.peerPauses.add(address, time.Now())
+		}
 		state.reason = err.Error()
 		if http1.NotSent(err) {
 			return attemptNotRun
@@ -181,7 +187,9 @@
 	case http.StatusBadGateway, http.StatusGatewayTimeout, http.StatusInternalServerError:
 		return failed(reason)
 	}
-	s.peerPauses.add(address, time.Now())
+	if response.Header(noPathHeader) != "" {
+		s.peerPauses.add(address, time.Now())
+	}
 	state.reason = reason
 	return attemptNotRun
 }
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -21,6 +21,9 @@
 	attemptsHeader = "X-Cactusspoke-Attempts"
 	// serverHeader names the backend server in the response to a relayed request.
 	serverHeader = "X-Cactusspoke-Server"
+	// noPathHeader in the response to a relayed request says that the peer reaches no server
+	// either.
+	noPathHeader = "X-Cactusspoke-No-Path"
 	// maxRelayPeers limits the number of peers to which a request is relayed.
 	maxRelayPeers = 3
 	// relayTimeout limits the time for one peer, in addition to the time for which
