reach: checks take servers at random, not only those that no request suspected

Cause: a check took two suspects and otherwise only servers that no request had failed at; where most had failed, these were the reachable ones, so the sample said half and half. A cut from all servers was noticed in time before, too.

--- a/internal/reach/monitor.go
+++ b/internal/reach/monitor.go
@@ -208,26 +208,26 @@
 			continue
 		}
 		s.checking, s.checkedAt = true, now
-		out[name] = m.sample(addresses, s.suspects)
+		out[name] = m.sample(addresses, s)
 		clear(s.suspects)
 	}
 	return out
 }
 
-// sample returns some of the addresses, those with the oldest evidence first, and some
-// suspects. Suspects alone would say nothing about the path.
-func (m *Monitor) sample(addresses []string, suspects map[string]time.Time) []string {
+// sample returns some of the addresses and some suspects beside them. Suspects alone would
+// say nothing about the path, nor would only those that were not suspected. While the paths
+// are lost, addresses with the oldest evidence come first.
+func (m *Monitor) sample(addresses []string, s *serviceState) []string {
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	slices.SortStableFunc(addresses, func(a, b string) int { return m.paths[a].at.Compare(m.paths[b].at) })
-	var out []string
-	others, suspected := 0, 0
-	for _, address := range addresses {
-		count, limit := &others, checkedServers
-		if _, ok := suspects[address]; ok {
-			count, limit = &suspected, checkedSuspects
-		}
-		if *count < limit {
-			*count++
+	if s.lost {
+		slices.SortStableFunc(addresses, func(a, b string) int { return m.paths[a].at.Compare(m.paths[b].at) })
+	}
+	size := min(checkedServers, len(addresses))
+	out := addresses[:size:size]
+	suspected := 0
+	for _, address := range addresses[size:] {
+		if _, ok := s.suspects[address]; ok && suspected < checkedSuspects {
+			suspected++
 			out = append(out, address)
 		}
 	}
--- a/internal/reach/monitor_test.go
+++ b/internal/reach/monitor_test.go
@@ -4,6 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -157,3 +160,51 @@
 		require.Equal(t, before, n.dials, "no checks after the paths are back")
 	})
 }
+
+// fromEnvironment returns a number from the environment. Package lab has a function for
+// that, but imports this package.
+func fromEnvironment(name string, otherwise int) int {
+	if n, err := strconv.Atoi(os.Getenv(name)); err == nil {
+		return n
+	}
+	return otherwise
+}
+
+// TestSoakPaths draws cuts of all, most or few servers that come, go and overlap. A cut of
+// most servers is noticed after a while of traffic, its end as well, a cut of few is never
+// taken for one, and checks stay few.
+func TestSoakPaths(t *testing.T) {
+	// settled is the time after which the state must be known. It is below the time in which
+	// callers of a cut instance may go unserved.
+	const settled = 2700 * time.Millisecond
+	steps := fromEnvironment("SOAK_STEPS", 60)
+	for _, seed := range []int{fromEnvironment("SOAK_SEED", 1), 31, 33} {
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { playCuts(t, uint64(seed), steps, settled) })
+	}
+}
+
+// playCuts draws cuts from a seed. The state must be right settled after a change.
+func playCuts(t *testing.T, seed uint64, steps int, settled time.Duration) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		random := rand.New(rand.NewPCG(seed, 0))
+		servers := 1 + random.IntN(12)
+		n := startNetwork(ctx, servers)
+		started := time.Now()
+		for range steps {
+			down := []int{0, 0, servers / 4, servers, servers, servers - servers/6}[random.IntN(6)]
+			n.set(func(i int) bool { return i < down }, random.IntN(2) == 0)
+			n.run(time.Duration(random.IntN(2000)) * time.Millisecond)
+			if random.IntN(3) == 0 {
+				n.run(settled)
+				lost := n.lost()
+				require.Equal(t, down > servers/4, lost, "%d of %d servers cut, seed %d, known: %+v", down, servers, seed, n.monitor.Knowledge("service"))
+			}
+		}
+		perSecond := float64(checkedServers+checkedSuspects) / (recheckInterval / 2).Seconds()
+		cancel()
+		time.Sleep(time.Second) // checks that hang end
+		require.LessOrEqual(t, float64(n.dials), perSecond*time.Since(started).Seconds()+checkedServers+checkedSuspects)
+	})
+}
