--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -37,8 +37,8 @@
 	// registration disappeared around a store outage.
 	missingGracePeriod = 3 * time.Second
 	// minAnnouncedShare of all instances must have their paths to servers for callers to be
-	// sent to these alone. Otherwise they would overload them: all instances are announced,
-	// and those without paths relay what the others can take.
+	// sent to these alone. Below that all instances are announced, so that the few are not
+	// overloaded; those without paths relay a bounded number of requests.
 	minAnnouncedShare = 0.3
 	// maxAddresses limits the addresses in a response; callers accept up to 64.
 	maxAddresses = 64
@@ -300,8 +300,8 @@
 }
 
 // renewUntilExpired renews the lease until it has expired or the context ends. It writes the
-// registration again when the lost services have changed since announced was written; a
-// write at each renewal at most bounds what paths that come and go cost the store.
+// registration again when the lost services differ from announced, which were written last.
+// Intermittent faults cause at most one write for each renewal.
 func (r *Registration) renewUntilExpired(ctx context.Context, lease kv.LeaseID, announced []string) {
 	for ctx.Err() == nil {
 		interval := renewInterval
--- a/internal/ingress/stop.go
+++ b/internal/ingress/stop.go
@@ -9,26 +9,26 @@
 )
 
 const (
-	// earlyStopShare is the share of the time for stopping in which requests are taken
-	// that may last longer than is left. Callers do not know of the stop yet, and most
-	// requests end long before their deadline.
+	// earlyStopShare is the initial share of the shutdown in which requests are admitted
+	// whose deadline lies beyond its end. Callers still hold the address, and most requests
+	// end long before their deadline.
 	earlyStopShare = 0.35
 	// stopResponseMargin is reserved before the end for the responses to requests that
 	// are ended.
 	stopResponseMargin = 200 * time.Millisecond
-	// jobCallTime is the time that a request about a job needs, with some in hand.
+	// jobCallTime is an upper estimate of the duration of a request about a job.
 	jobCallTime = 1500 * time.Millisecond
 	// retryAfterStopping is the Retry-After value of an instance that stops. Its peers
 	// can take the request at once.
 	retryAfterStopping = 20 * time.Millisecond
 )
 
-// stopPlan is the time in which an instance stops.
+// stopPlan holds the begin and the end of a graceful shutdown.
 type stopPlan struct{ began, end time.Time }
 
-// takes reports whether a request with a deadline is taken now. One that is taken too
+// admits reports whether a request with a deadline is admitted now. One that is admitted too
 // late would be cut after a server began to run it.
-func (p *stopPlan) takes(now, deadline time.Time) bool {
+func (p *stopPlan) admits(now, deadline time.Time) bool {
 	if p == nil || !deadline.After(p.end.Add(-stopResponseMargin)) {
 		return true
 	}
@@ -44,8 +44,7 @@
 	time.AfterFunc(time.Until(end.Add(-stopResponseMargin)), s.endRequests)
 }
 
-// untilStopped returns a context that also ends when an instance that stops runs out of
-// time.
+// untilStopped returns a context that also ends at the end of a graceful shutdown.
 func (s *Server) untilStopped(ctx context.Context) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
 	stop := context.AfterFunc(s.requestsEnd, cancel)
@@ -55,9 +54,10 @@
 	}
 }
 
-// refusedWhileStopping refuses a request that may last longer than this instance runs.
+// refusedWhileStopping refuses a request that may outlast a graceful shutdown and reports
+// whether it did.
 func (s *Server) refusedWhileStopping(c *app.RequestContext, r *callerRequest, deadline time.Time) bool {
-	if s.stopping.Load().takes(time.Now(), deadline) {
+	if s.stopping.Load().admits(time.Now(), deadline) {
 		return false
 	}
 	c.SetConnectionClose()
--- a/internal/ingress/stop_test.go
+++ b/internal/ingress/stop_test.go
@@ -28,7 +28,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			now := began.Add(test.after)
-			require.Equal(t, test.taken, test.plan.takes(now, now.Add(test.timeLimit)))
+			require.Equal(t, test.taken, test.plan.admits(now, now.Add(test.timeLimit)))
 		})
 	}
 }
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -70,7 +70,7 @@
 	// NewControlClient returns a client that sends calls on behalf of the duty holder.
 	NewControlClient func(client *http1.Client, holder, cloud string) ControlClient
 	// DialServers opens the connections of an entry instance to backend servers and peers.
-	// If it is nil, the network does.
+	// If it is nil, they are opened by http1.
 	DialServers http1.DialFunc
 	// RetireKey and RetireStatus return the key and the value with which a node
 	// reports whether its machine is drained.
--- a/internal/pool/leaving.go
+++ b/internal/pool/leaving.go
@@ -18,13 +18,13 @@
 	born int64
 }
 
-// Departures are the servers which said that they are leaving. A server that said so never
-// takes it back, whatever its registration says, so they outlive registrations and pools.
-// They are safe for concurrent use.
+// Departures is the set of servers that announced in a response that they are leaving. The
+// announcement is final for an incarnation, so the set outlives registrations and pools. It
+// is safe for concurrent use.
 type Departures struct {
 	mu      sync.Mutex
 	leaving map[incarnation]bool
-	// order holds the servers in the order in which they said so, the oldest first.
+	// order holds the servers by the time of their announcement, the oldest first.
 	order []incarnation
 }
 
@@ -47,7 +47,7 @@
 	return true
 }
 
-// has reports whether a server said that it is leaving.
+// has reports whether a server announced that it is leaving.
 func (d *Departures) has(server Server) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -58,8 +58,8 @@
 // must be called before servers are added.
 func (p *Pool) UseDepartures(d *Departures) { p.departures = d }
 
-// readLeaving records that the server at an address said that it is leaving. Its
-// registration may be gone while it answers its last requests.
+// readLeaving records the announcement of the server at an address. Its registration may be
+// gone while it answers its last requests.
 func (p *Pool) readLeaving(address, text string) {
 	if text != LeavingValue {
 		return
@@ -75,7 +75,7 @@
 	}
 }
 
-// MarkLeaving records that a server said to another instance that it is leaving.
+// MarkLeaving records that a server announced to another instance that it is leaving.
 func (p *Pool) MarkLeaving(id string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/pool/limit.go
+++ b/internal/pool/limit.go
@@ -73,9 +73,9 @@
 }
 
 // NewObserver returns the observer of a client that sends to the servers of the current
-// pool, which may be nil. It counts the requests to each server and reads what the servers
-// say of their limits and that they are leaving. control means that the requests are not acquired from the pool, but
-// delay those that are.
+// pool, which may be nil. It counts the requests to each server and reads the limits that
+// servers name and whether they are leaving. control means that the requests are not
+// acquired from the pool, but delay those that are.
 func NewObserver(current func() *Pool, headers protocol.Headers, metrics *telemetry.Registry, control bool) http1.Observer {
 	return http1.Observer{
 		Sent: func(address string) {
--- a/internal/reach/monitor.go
+++ b/internal/reach/monitor.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// evidenceMaxAge is how long it counts that a server was reachable or not. Checks are
-	// repeated more often while the paths count as lost.
+	// evidenceMaxAge is how long evidence on a server is used. Checks are repeated more often
+	// than that while the paths are lost.
 	evidenceMaxAge = 2 * time.Second
 	// suspicionMaxAge is how long a failed request counts towards a check.
 	suspicionMaxAge = time.Second
@@ -28,8 +28,8 @@
 	recheckInterval = 400 * time.Millisecond
 	// pruneInterval is the time after which old evidence is dropped at the latest.
 	pruneInterval = 30 * time.Second
-	// announcedTime is how long a service is announced as lost after its paths were lost
-	// last. Callers are not sent back and forth while a cut comes and goes.
+	// announcedTime is how long a service stays announced as lost after its paths are
+	// restored. The delay keeps callers in place during intermittent faults.
 	announcedTime = 2 * time.Second
 	// checkedServers is the number of servers that one check connects to, beside up to
 	// checkedSuspects that failed requests. More would burden the servers when all instances
@@ -87,7 +87,7 @@
 	return http1.Observer{
 		Answered: func(address string, _ int, _ http.Header) { m.record(address, evidence{true, time.Now()}) },
 		Dialed: func(address string, took time.Duration, err error) {
-			// A server that cannot be reached could not be when the dial began.
+			// A failed dial is evidence from its start.
 			m.record(address, evidence{err == nil, time.Now().Add(-took)})
 		},
 	}
@@ -214,9 +214,8 @@
 	return out
 }
 
-// sample returns some of the addresses and some suspects beside them. Suspects alone would
-// say nothing about the path, nor would only those that were not suspected. While the paths
-// are lost, addresses with the oldest evidence come first.
+// sample returns random addresses, or those with the oldest evidence while the paths are
+// lost, and a few suspects in addition. A sample of suspects only, or of none, would be biased.
 func (m *Monitor) sample(addresses []string, s *serviceState) []string {
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 	if s.lost {
