A late copy of an answer is never taken for the next one

Cause: ingress.attempt, scheduler.checkHeaders and tryReward acted on X-Not-Executed and 421 before they compared the id of the answer. Found beside it: a request that is tried again on its own connection meets a copy with its own id, which no comparison finds. Change: http1.Request.Echo; Client.Do compares before observers or readers see the answer, and a request is not sent again on the connection it used last. Job calls relayed to peers are compared, too. Why it works: who an answer belongs to is decided in one place, before anyone acts on it.

--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -12,6 +12,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -71,8 +72,25 @@
 	Host    string
 	Headers []Header
 	Body    []byte
+	// Echo names a header of the request that its response repeats. A response with another
+	// value belongs to another request. Empty: responses are not checked.
+	Echo string
 }
 
+// header returns the first value of a header; empty if there is none.
+func (r *Request) header(name string) string {
+	for _, h := range r.Headers {
+		if strings.EqualFold(h.Name, name) {
+			return h.Value
+		}
+	}
+	return ""
+}
+
+// ErrOtherRequest means that the response on the connection belongs to another request, whose
+// server sent it a second time. It says nothing about whether this request ran.
+var ErrOtherRequest = Class.New("response to another request")
+
 // Error is a failed exchange. It records whether the request may have been sent.
 type Error struct {
 	sent  bool
@@ -185,6 +203,9 @@
 	reader        *bufio.Reader
 	address       string
 	reuseDeadline time.Time
+	// answered is the value of Request.Echo in the last request. The same request is not sent
+	// here again, since a second copy of that response could not be told from its own.
+	answered string
 }
 
 // Close closes the connection. It may be called more than once.
@@ -227,17 +248,24 @@
 
 // Do sends a request once and returns after the response headers have arrived.
 // The caller must close the response. The context bounds the whole exchange,
-// including the response body.
+// including the response body. A response that does not repeat the header named by
+// Request.Echo is an ErrOtherRequest; observers do not see it, and the connection, on which
+// the right one may follow, is closed.
 func (c *Client) Do(ctx context.Context, address string, r *Request) (*Response, error) {
-	cn, err := c.acquire(ctx, address)
+	echo := r.header(r.Echo)
+	cn, err := c.acquire(ctx, address, echo)
 	if err != nil {
 		return nil, &Error{cause: err}
 	}
+	cn.answered = echo
 	stopCancelWatch := context.AfterFunc(ctx, func() { _ = cn.Close() })
 	if c.observer.Sent != nil {
 		c.observer.Sent(address)
 	}
 	response, err := roundTrip(cn, r)
+	if err == nil && r.Echo != "" && response.Header.Get(r.Echo) != echo {
+		err = ErrOtherRequest
+	}
 	if err != nil {
 		stopCancelWatch()
 		_ = cn.Close()
@@ -252,10 +280,11 @@
 	return &Response{httpResponse: response, conn: cn, client: c, stopCancelWatch: stopCancelWatch, ctx: ctx}, nil
 }
 
-// acquire returns a reusable idle connection or opens a new one.
-func (c *Client) acquire(ctx context.Context, address string) (*conn, error) {
+// acquire returns a reusable idle connection or opens a new one. The last request on the
+// connection was not the one that echo identifies.
+func (c *Client) acquire(ctx context.Context, address, echo string) (*conn, error) {
 	for {
-		cn := c.popIdle(address)
+		cn := c.popIdle(address, echo)
 		if cn == nil {
 			return c.dial(ctx, address)
 		}
@@ -266,20 +295,25 @@
 	}
 }
 
-func (c *Client) popIdle(address string) *conn {
+// popIdle removes and returns the connection that became idle last, of those whose last
+// request was not the one that echo identifies; nil if there is none.
+func (c *Client) popIdle(address, echo string) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	conns := c.idle[address]
-	if len(conns) == 0 {
-		return nil
-	}
-	cn := conns[len(conns)-1]
-	if len(conns) == 1 {
-		delete(c.idle, address)
-	} else {
-		c.idle[address] = conns[:len(conns)-1]
+	for i := len(conns) - 1; i >= 0; i-- {
+		cn := conns[i]
+		if echo != "" && cn.answered == echo {
+			continue
+		}
+		if len(conns) == 1 {
+			delete(c.idle, address)
+		} else {
+			c.idle[address] = slices.Delete(conns, i, i+1)
+		}
+		return cn
 	}
-	return cn
+	return nil
 }
 
 func (c *Client) dial(ctx context.Context, address string) (*conn, error) {
--- a/internal/http1/client_test.go
+++ b/internal/http1/client_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -260,3 +261,51 @@
 		}
 	}
 }
+
+// TestLateCopyOfResponse guards against a second copy of a response, sent late, that is taken
+// for the response to the next request or to the same request sent again.
+func TestLateCopyOfResponse(t *testing.T) {
+	tests := []struct {
+		name string
+		ids  [2]string
+	}{
+		{"the next request", [2]string{"a", "b"}},
+		{"the same request again", [2]string{"a", "a"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var perConn sync.Map
+			s := newScriptedServer(t, func(n int64, c net.Conn, r *http.Request) {
+				refusal := "HTTP/1.1 503 Service Unavailable\r\nId: " + r.Header.Get("Id") + "\r\nContent-Length: 0\r\n\r\n"
+				if earlier, loaded := perConn.LoadOrStore(c.RemoteAddr().String(), refusal); loaded {
+					_, _ = fmt.Fprint(c, earlier)
+					return
+				}
+				_, _ = fmt.Fprint(c, refusal)
+			})
+			client := http1.NewClient()
+			answered := 0
+			client.Observe(http1.Observer{Answered: func(string, int, http.Header) { answered++ }})
+			send := func(id string) error {
+				response, err := client.Do(t.Context(), s.address, &http1.Request{Method: http.MethodPost, URI: "/", Host: "h", Headers: []http1.Header{{Name: "Id", Value: id}}, Echo: "Id"})
+				if err != nil {
+					return err
+				}
+				defer response.Close()
+				_, err = response.ReadAll(100)
+				return err
+			}
+			require.NoError(t, send(tt.ids[0]))
+			err := send(tt.ids[1])
+			if tt.ids[0] == tt.ids[1] {
+				require.NoError(t, err)
+				require.EqualValues(t, 2, s.conns.Load(), "the request was sent again on its connection")
+				return
+			}
+			require.ErrorIs(t, err, http1.ErrOtherRequest)
+			require.False(t, http1.NotSent(err))
+			require.Equal(t, 1, answered, "observers saw the copy")
+			require.Zero(t, client.Connections())
+		})
+	}
+}
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -265,14 +265,15 @@
 	response, err := s.Backends.Do(ctx, server.Address, s.backendRequest(c, r, server))
 	if err != nil {
 		state.reason = err.Error()
-		if !errors.Is(ctx.Err(), context.Canceled) {
+		otherRequest := errors.Is(err, http1.ErrOtherRequest)
+		if !otherRequest && !errors.Is(ctx.Err(), context.Canceled) {
 			s.Reach.Suspect(server.Service, server.Address)
 		}
 		if http1.NotSent(err) {
 			handle.Release(pool.Failed)
 			return attemptNotRun
 		}
-		state.connectionLost = ctx.Err() == nil
+		state.connectionLost = ctx.Err() == nil && !otherRequest
 		releaseBroken(ctx, handle.Release)
 		s.meterOnce(r, state, sentAt)
 		return attemptFailed
@@ -283,12 +284,6 @@
 		return s.handleRejection(response, state, handle)
 	}
 	s.meterOnce(r, state, sentAt)
-	if response.Header(s.Headers.RequestID) != r.id {
-		response.Abort()
-		handle.Release(pool.Failed)
-		state.reason = "response to another request"
-		return attemptFailed
-	}
 	if r.route.Kind == routetable.Streaming && response.Status() == http.StatusOK {
 		if r.route.Resumable && r.resumesAt == nil {
 			s.Streams.Begin(r.id, streamorigin.Origin{Service: server.Service, Software: server.Software}, r.route.Services())
@@ -375,7 +370,7 @@
 
 // backendRequest builds the request to a backend server.
 func (s *Server) backendRequest(c *app.RequestContext, r *callerRequest, server pool.Server) *http1.Request {
-	out := &http1.Request{Method: r.method, URI: r.requestURI, Host: r.host, Body: c.Request.Body()}
+	out := &http1.Request{Method: r.method, URI: r.requestURI, Host: r.host, Body: c.Request.Body(), Echo: s.Headers.RequestID}
 	options := connectionOptions(string(c.Request.Header.Peek("Connection")))
 	c.Request.Header.VisitAll(func(name, value []byte) {
 		if isHopByHop(string(name)) || options[strings.ToLower(string(name))] || s.isReservedHeader(string(name)) {
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -56,6 +56,9 @@
 	if s.refusedWhileStopping(c, r, r.receivedAt.Add(jobCallTime)) {
 		return true
 	}
+	if r.relayed {
+		c.Response.Header.Set(s.Headers.RequestID, r.id)
+	}
 	ctx, cancel := context.WithTimeout(ctx, jobRequestTimeout)
 	defer cancel()
 	if !s.StoreReachable() && s.relay(ctx, c, r) {
@@ -81,6 +84,9 @@
 		s.respondError(c, r, http.StatusBadRequest, 0, err.Error())
 		return
 	}
+	if r.relayed {
+		c.Response.Header.Set(s.Headers.RequestID, r.id)
+	}
 	job.ID, job.Customer, job.Host, job.Route = r.id, r.customer, r.host, r.route.Name
 	job.SubmittedAt = s.Clock.TimeOfDay(r.receivedAt).UnixMilli()
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -76,6 +76,11 @@
 		return false
 	}
 	defer response.Close()
+	if id := response.Header(s.Headers.RequestID); id != "" && id != r.id { // earlier versions send none
+		response.Abort()
+		s.Log.Warn("job: a peer responded to another request", zap.String("id", r.id), zap.String("peer", address), zap.String("responded-to", id))
+		return false
+	}
 	body, err := response.ReadAll(maxBufferedBytes)
 	if err != nil || response.Status() >= http.StatusInternalServerError {
 		return false
--- a/internal/scheduler/reward.go
+++ b/internal/scheduler/reward.go
@@ -75,7 +75,7 @@
 	if body == nil {
 		body = []byte{}
 	}
-	request := &http1.Request{Method: http.MethodPost, URI: r.Path, Host: r.Host, Body: body, Headers: []http1.Header{
+	request := &http1.Request{Method: http.MethodPost, URI: r.Path, Host: r.Host, Body: body, Echo: s.Headers.RequestID, Headers: []http1.Header{
 		{Name: s.Headers.RequestID, Value: r.ID},
 		{Name: s.Headers.ExpectInstance, Value: handle.Server().ID},
 		{Name: s.Headers.DeadlineMS, Value: strconv.FormatInt(timeout.Milliseconds(), 10)},
@@ -89,7 +89,7 @@
 	_, err = response.ReadAll(rewardResponseMaxBytes)
 	status := response.Status()
 	switch {
-	case err != nil || response.Header(s.Headers.RequestID) != r.ID && response.Header(s.Headers.NotRun) == "":
+	case err != nil:
 		response.Abort()
 		handle.Release(pool.Failed)
 		return "", 0
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -142,7 +142,7 @@
 // request builds the request to the engine. It resumes after the events in the
 // output.
 func (r *run) request() *http1.Request {
-	out := &http1.Request{Method: http.MethodPost, URI: r.item.Path, Host: r.job.Host, Body: r.item.Body}
+	out := &http1.Request{Method: http.MethodPost, URI: r.item.Path, Host: r.job.Host, Body: r.item.Body, Echo: r.headers.RequestID}
 	if out.Body == nil {
 		out.Body = []byte{}
 	}
@@ -206,9 +206,6 @@
 	case response.Header(r.headers.NotRun) != "":
 		_, _ = response.ReadAll(maxLineBytes)
 		return outcomeRefused, true
-	case response.Header(r.headers.RequestID) != r.item.ID:
-		r.reason = "response to another request"
-		return outcomeInterrupted, true
 	case status == http.StatusUnprocessableEntity:
 		return outcomeInvalid, true
 	case status == http.StatusInternalServerError:
