Watches that began before a silence of the store are sent again

Cause: a watch that reaches the store in a silence, or whose response is due in it, is lost for good, and nothing but its own wait of 30 s (31.5 s) ended it. Ruled out: TCP keep-alives (the host answers); that only watches sent in the silence are struck (a response due in it is lost, too); waiting for failures of other calls (a silence of 0.8 s falls between renewals, and schedulers without the duty make no calls). Change: kv.ProbedStore renews a lease each 300 ms, and right after each new watch, while a process has watches; once a renewal is lost and a later one is answered, earlier watches end and their followers list again. All followers of entry instances and schedulers use it. Why it works: a probe that is lost proves a silence that any watch of the process may have met, and one that is answered later proves that watches sent from then on reach the store.

--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -101,7 +101,8 @@
 	s := e.settings
 	backends := http1.NewClient()
 	metered := kv.WithMetrics(e.adapter.NewStore(http1.NewClient(), s.StoreAddress), e.metrics)
-	store := kv.NewMonitoredStore(metered)
+	probed := kv.NewProbedStore(metered, e.log)
+	store := kv.NewMonitoredStore(probed)
 	view := routetable.NewView(e.adapter.Decoder, e.log, func() {})
 	serverPool := pool.New(e.adapter.DecodeServer, e.log, func() {})
 	if e.adapter.DialServers != nil {
@@ -132,6 +133,7 @@
 		Add(pool.ServerListKey, serverSubscriber).Add(directory.Prefix, members).Add(pool.LimitListKey, serverPool.LimitView()).
 		Add(pool.SoftwareListKey, serverPool.SoftwareView())
 	components := newComponentGroup(workCtx, e.log)
+	components.start("probes", probed.Run)
 	replicas := e.newReplicas(store, entryDirectory, view, entryViews)
 	components.start("replica", replicas.follower.Run)
 	components.start("replica-server", replicas.serve)
--- a/internal/node/scheduler.go
+++ b/internal/node/scheduler.go
@@ -80,13 +80,15 @@
 // operator asks to drain the machine.
 func (n *Scheduler) Run(ctx context.Context) error {
 	s := n.settings
-	store := kv.WithMetrics(n.adapter.NewStore(http1.NewClient(), s.StoreAddress), n.metrics)
+	metered := kv.WithMetrics(n.adapter.NewStore(http1.NewClient(), s.StoreAddress), n.metrics)
+	store := kv.NewProbedStore(metered, n.log)
 	view := routetable.NewView(n.adapter.Decoder, n.log, n.notifyActive)
 	candidate := election.New(store, schedulerDuty, s.Name, s.HolderCooldown, n.log)
 	components := newComponentGroup(ctx, n.log)
+	components.start("probes", store.Run)
 	components.start("configuration", kv.NewFollower(store, n.adapter.Decoder.ConfigKey, 0, view, n.log).Run)
 	components.start("lateness", measureLateness(n.metrics, n.log))
-	components.start("activity", logActivity("scheduler", store, n.backends.Connections, n.log))
+	components.start("activity", logActivity("scheduler", metered, n.backends.Connections, n.log))
 	components.start("retiring", kv.NewFollower(store, n.adapter.Decoder.RetirePrefix, 0, view, n.log).Run)
 	components.start("duties", kv.NewFollower(store, election.Prefix, 0, candidate, n.log).Run)
 	n.log.Info("scheduler: started", zap.String("node", s.Name))
