Text that cannot stand in a request is never written to a connection

Cause: a job's strings come from JSON and may hold anything; http1 wrote them out as they were. Why it works: the check stands where bytes are written, so no other path can miss it.

--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -250,8 +250,12 @@
 // The caller must close the response. The context bounds the whole exchange,
 // including the response body. A response that does not repeat the header named by
 // Request.Echo is an ErrOtherRequest; observers do not see it, and the connection, on which
-// the right one may follow, is closed.
+// the right one may follow, is closed. A request that cannot be sent as it is is an
+// ErrInvalidRequest.
 func (c *Client) Do(ctx context.Context, address string, r *Request) (*Response, error) {
+	if err := r.Validate(); err != nil {
+		return nil, &Error{cause: err}
+	}
 	echo := r.header(r.Echo)
 	cn, err := c.acquire(ctx, address, echo)
 	if err != nil {
--- a/internal/http1/client_test.go
+++ b/internal/http1/client_test.go
@@ -309,3 +309,50 @@
 		})
 	}
 }
+
+// TestInvalidRequests guards against a request that is smuggled inside another: text with line
+// breaks must not reach a server, whichever part of the request it is in.
+func TestInvalidRequests(t *testing.T) {
+	smuggled := "1\r\nContent-Length: 0\r\n\r\nPOST /smuggled HTTP/1.1\r\nX-Pad: 1"
+	valid := func() *http1.Request {
+		return &http1.Request{Method: http.MethodPost, URI: "/a?b=c", Host: "h:80", Headers: []http1.Header{{Name: "X-Note", Value: "a b"}}}
+	}
+	tests := []struct {
+		name   string
+		change func(r *http1.Request)
+		valid  bool
+	}{
+		{"unchanged", func(*http1.Request) {}, true},
+		{"other characters in a value", func(r *http1.Request) { r.Headers[0].Value = "ä\t{}" }, true},
+		{"line breaks in a value", func(r *http1.Request) { r.Headers[0].Value = smuggled }, false},
+		{"a line feed in a value", func(r *http1.Request) { r.Headers[0].Value = "1\nX-Tenant: b" }, false},
+		{"a carriage return in a value", func(r *http1.Request) { r.Headers[0].Value = "1\rX-Tenant: b" }, false},
+		{"a null byte in a value", func(r *http1.Request) { r.Headers[0].Value = "1\x00" }, false},
+		{"a space before a value", func(r *http1.Request) { r.Headers[0].Value = " 1" }, false},
+		{"line breaks in a name", func(r *http1.Request) { r.Headers[0].Name = "X-Note: 1\r\nX-Tenant" }, false},
+		{"a space in a name", func(r *http1.Request) { r.Headers[0].Name = "Content-Length " }, false},
+		{"a colon in a name", func(r *http1.Request) { r.Headers[0].Name = "X-Tenant: b, x" }, false},
+		{"an empty name", func(r *http1.Request) { r.Headers[0].Name = "" }, false},
+		{"line breaks in the target", func(r *http1.Request) { r.URI = "/a HTTP/1.1\r\n\r\nPOST /smuggled" }, false},
+		{"a space in the target", func(r *http1.Request) { r.URI = "/a b" }, false},
+		{"a target that is no path", func(r *http1.Request) { r.URI = "a" }, false},
+		{"line breaks in the host", func(r *http1.Request) { r.Host = "h\r\nX-Tenant: b" }, false},
+		{"a space in the method", func(r *http1.Request) { r.Method = "GET /smuggled" }, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newScriptedServer(t, func(_ int64, c net.Conn, _ *http.Request) { _, _ = fmt.Fprint(c, completeResponse) })
+			request := valid()
+			tt.change(request)
+			response, err := http1.NewClient().Do(t.Context(), s.address, request)
+			if tt.valid {
+				require.NoError(t, err)
+				response.Close()
+				return
+			}
+			require.ErrorIs(t, err, http1.ErrInvalidRequest)
+			require.True(t, http1.NotSent(err))
+			require.Zero(t, s.conns.Load())
+		})
+	}
+}
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -263,6 +263,11 @@
 	sentAt := time.Now()
 	state.connectionLost = false
 	response, err := s.Backends.Do(ctx, server.Address, s.backendRequest(c, r, server))
+	if errors.Is(err, http1.ErrInvalidRequest) {
+		handle.Release(pool.Abandoned)
+		s.respondError(c, r, http.StatusBadRequest, 0, err.Error())
+		return attemptDone
+	}
 	if err != nil {
 		state.reason = err.Error()
 		otherRequest := errors.Is(err, http1.ErrOtherRequest)
--- a/internal/scheduler/reward.go
+++ b/internal/scheduler/reward.go
@@ -9,6 +9,8 @@
 	"cactusspoke/internal/batch"
 	"cactusspoke/internal/http1"
 	"cactusspoke/internal/pool"
+
+	"go.uber.org/zap"
 )
 
 const (
@@ -29,6 +31,11 @@
 // value of the seal header. It returns false if the call failed permanently or
 // the context ended.
 func (s *Scheduler) callReward(ctx context.Context, r *batch.RewardRequest) (string, bool) {
+	request := &http1.Request{Method: http.MethodPost, URI: r.Path, Host: r.Host, Headers: []http1.Header{{Name: s.Headers.RequestID, Value: r.ID}}}
+	if err := request.Validate(); err != nil { // accepted by an earlier version
+		s.Log.Warn("item: reward call cannot be sent", zap.String("reward", r.ID), zap.String("reason", err.Error()))
+		return "", false
+	}
 	failures := 0
 	for ctx.Err() == nil {
 		table := s.View.Table()
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -146,7 +146,11 @@
 	if out.Body == nil {
 		out.Body = []byte{}
 	}
-	out.Headers = append(out.Headers, r.item.Headers...)
+	for _, h := range r.item.Headers {
+		if http1.ValidHeader(h) { // earlier versions accepted others
+			out.Headers = append(out.Headers, h)
+		}
+	}
 	add := func(name, value string) { out.Headers = append(out.Headers, http1.Header{Name: name, Value: value}) }
 	add(r.headers.RequestID, r.item.ID)
 	add(r.headers.ExpectInstance, r.server.ID)
@@ -177,6 +181,10 @@
 	defer watchdog.Stop()
 	r.lastEventAt.Store(time.Now().UnixNano())
 	response, err := r.client.Do(ctx, r.server.Address, r.request())
+	if errors.Is(err, http1.ErrInvalidRequest) {
+		r.reason = err.Error()
+		return outcomeInvalid
+	}
 	if err != nil {
 		r.reason = err.Error()
 		if parent.Err() != nil {
