Items cannot set the customer, the key or what the scheduler sets

Cause: the scheduler appended an item's headers as they came; the list of headers that callers may not set was a method of ingress. Found beside it: an item that named another server in X-Expect-Instance got no result (refused everywhere), one with another X-Attempt-Id ran under it; a header listed in Connection was passed on to a peer. Change: protocol.Headers.SetByInstance, SetByScheduler and protocol.HopByHop, used by both writers. Why it works: one list for everybody who sends a caller's headers to a server.

--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -15,6 +15,7 @@
 	"cactusspoke/internal/kv"
 	"cactusspoke/internal/poison"
 	"cactusspoke/internal/pool"
+	"cactusspoke/internal/protocol"
 	"cactusspoke/internal/reach"
 	"cactusspoke/internal/routetable"
 	"cactusspoke/internal/streamorigin"
@@ -362,23 +363,12 @@
 	}
 }
 
-// hopByHopHeaders holds the headers, in lower case, that are not forwarded because
-// they apply to a single connection or are set anew for the next one.
-var hopByHopHeaders = map[string]bool{
-	"connection": true, "keep-alive": true, "transfer-encoding": true, "te": true, "trailer": true,
-	"upgrade": true, "proxy-connection": true, "proxy-authorization": true, "proxy-authenticate": true,
-	"content-length": true, "host": true, "expect": true,
-}
-
-// isHopByHop reports whether a header must not be forwarded.
-func isHopByHop(name string) bool { return hopByHopHeaders[strings.ToLower(name)] }
-
 // backendRequest builds the request to a backend server.
 func (s *Server) backendRequest(c *app.RequestContext, r *callerRequest, server pool.Server) *http1.Request {
 	out := &http1.Request{Method: r.method, URI: r.requestURI, Host: r.host, Body: c.Request.Body(), Echo: s.Headers.RequestID}
-	options := connectionOptions(string(c.Request.Header.Peek("Connection")))
+	hopByHop := protocol.NewHopByHop(string(c.Request.Header.Peek("Connection")))
 	c.Request.Header.VisitAll(func(name, value []byte) {
-		if isHopByHop(string(name)) || options[strings.ToLower(string(name))] || s.isReservedHeader(string(name)) {
+		if hopByHop.Has(string(name)) || s.Headers.SetByInstance(string(name)) {
 			return
 		}
 		out.Headers = append(out.Headers, http1.Header{Name: string(name), Value: string(value)})
@@ -393,27 +383,6 @@
 	return out
 }
 
-// connectionOptions returns the header names, in lower case, that a Connection
-// header lists as hop-by-hop.
-func connectionOptions(value string) map[string]bool {
-	options := map[string]bool{}
-	for name := range strings.SplitSeq(strings.ToLower(value), ",") {
-		options[strings.TrimSpace(name)] = true
-	}
-	return options
-}
-
-// isReservedHeader reports whether a caller's header is not forwarded because it
-// holds the API key or may be set only by the instance.
-func (s *Server) isReservedHeader(name string) bool {
-	for _, reserved := range []string{"Authorization", relayedHeader, attemptsHeader, s.Headers.DeadlineMS, s.Headers.ExpectInstance, s.Headers.Customer} {
-		if strings.EqualFold(name, reserved) {
-			return true
-		}
-	}
-	return false
-}
-
 // forwardBuffered reads a server's whole response and checks it before any of it
 // is sent to the caller. attempts is how many attempts it took, sender names the server or
 // peer, and release releases it.
@@ -489,9 +458,9 @@
 
 // copyHeaders adds the end-to-end headers of a response to the caller's response.
 func (s *Server) copyHeaders(c *app.RequestContext, header http.Header) {
-	options := connectionOptions(header.Get("Connection"))
+	hopByHop := protocol.NewHopByHop(header.Get("Connection"))
 	for name, values := range header {
-		if isHopByHop(name) || options[strings.ToLower(name)] || strings.EqualFold(name, serverHeader) {
+		if hopByHop.Has(name) || strings.EqualFold(name, serverHeader) {
 			continue
 		}
 		for _, value := range values {
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cactusspoke/internal/http1"
+	"cactusspoke/internal/protocol"
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"go.uber.org/zap"
@@ -55,8 +56,9 @@
 // it like a request of the caller, whose API key it carries.
 func (s *Server) peerRequest(c *app.RequestContext, r *callerRequest) *http1.Request {
 	request := &http1.Request{Method: r.method, URI: r.requestURI, Host: r.host, Body: c.Request.Body()}
+	hopByHop := protocol.NewHopByHop(string(c.Request.Header.Peek("Connection")))
 	c.Request.Header.VisitAll(func(name, value []byte) {
-		if isHopByHop(string(name)) || strings.EqualFold(string(name), attemptsHeader) {
+		if hopByHop.Has(string(name)) || strings.EqualFold(string(name), attemptsHeader) {
 			return
 		}
 		request.Headers = append(request.Headers, http1.Header{Name: string(name), Value: string(value)})
--- a/internal/node/smuggle_test.go
+++ b/internal/node/smuggle_test.go
@@ -1,6 +1,7 @@
 package node_test
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -89,3 +90,58 @@
 		c.requireNotSmuggled()
 	})
 }
+
+// TestItemHeaders guards against headers of an item that name another customer, pass the
+// caller's API key on, or replace what the scheduler or the connection sets.
+func TestItemHeaders(t *testing.T) {
+	t.Parallel()
+	h := platform.Headers()
+	tests := []struct{ name, value string }{
+		{h.Customer, "b"},
+		{strings.ToLower(h.Customer), "b"},
+		{"Authorization", "Bearer " + key},
+		{"authorization", "Bearer " + key},
+		{h.RequestID, "smuggled"},
+		{h.ExpectInstance, "another"},
+		{h.DeadlineMS, "1"},
+		{h.Priority, "0"},
+		{h.LastEventID, "3"},
+		{"Content-Length", "1"},
+		{"Transfer-Encoding", "chunked"},
+		{"Host", "smuggled"},
+		{"Connection", "close"},
+		{"Connection", h.Customer},
+		{"Expect", "100-continue"},
+		{"X-Cactusspoke-Relayed", "1"},
+	}
+	c := newCluster(t, 1, 1)
+	c.putConfig(1, nil)
+	c.waitReady()
+	for i, tt := range tests {
+		t.Run(tt.name+" "+tt.value, func(t *testing.T) {
+			id := fmt.Sprintf("j%d", i)
+			body := jobBody(id, 2, 1, func(_ int, item map[string]any) {
+				item["Headers"].(map[string]string)[tt.name] = tt.value
+			})
+			require.Equal(t, http.StatusAccepted, c.send(c.entries[0], http.MethodPost, "/jobs/"+id, id, key, body, nil).status)
+			requireCompleteResults(t, id, 2, 5, c.waitForResults(c.entries[0], id))
+			runs := 0
+			for _, w := range c.engines {
+				for _, r := range w.Requests() {
+					if !strings.HasPrefix(r.Path, "/jobs/"+id+"/") {
+						continue
+					}
+					runs++
+					require.Equal(t, []string{"a"}, r.Header.Values(h.Customer))
+					require.Equal(t, []string{r.ID}, r.Header.Values(h.RequestID))
+					require.Len(t, r.Header.Values(h.Priority), 1)
+					require.NotEqual(t, "0", r.Header.Get(h.Priority))
+					require.Empty(t, r.Header.Values("Authorization"))
+					require.Empty(t, r.Header.Values(h.LastEventID))
+					require.Empty(t, r.Header.Values("X-Cactusspoke-Relayed"))
+				}
+			}
+			require.Equal(t, 2, runs)
+		})
+	}
+}
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -146,11 +146,7 @@
 	if out.Body == nil {
 		out.Body = []byte{}
 	}
-	for _, h := range r.item.Headers {
-		if http1.ValidHeader(h) { // earlier versions accepted others
-			out.Headers = append(out.Headers, h)
-		}
-	}
+	out.Headers = append(out.Headers, forwardedHeaders(r.headers, r.item)...)
 	add := func(name, value string) { out.Headers = append(out.Headers, http1.Header{Name: name, Value: value}) }
 	add(r.headers.RequestID, r.item.ID)
 	add(r.headers.ExpectInstance, r.server.ID)
@@ -165,6 +161,26 @@
 	return out
 }
 
+// forwardedHeaders returns the headers of an item that its request has. The others apply to a
+// connection or are set by the scheduler, or an earlier version accepted them although they
+// cannot be sent.
+func forwardedHeaders(names protocol.Headers, item *batch.Item) []http1.Header {
+	connection := ""
+	for _, h := range item.Headers {
+		if strings.EqualFold(h.Name, "Connection") {
+			connection += "," + h.Value
+		}
+	}
+	hopByHop := protocol.NewHopByHop(connection)
+	var out []http1.Header
+	for _, h := range item.Headers {
+		if http1.ValidHeader(h) && !hopByHop.Has(h.Name) && !names.SetByScheduler(h.Name) {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
 // eventTimeoutFor returns the timeout of an item's next run on an engine with the
 // given expected milliseconds per event. cuts is the number of its runs that ended
 // by a timeout after some events: the engines may be slow but sound.
