Streams without a record go on only after the store has named the versions

Cause: without a record, an instance concluded from what it was told in the past that only one version can have begun the stream, even if the store could not be read. Ruled out: items (the holder knows the version of its runs), late records as the only cause (a missing record is normal). Change: pool.SoftwareReader reads registrations and the published history after the request came; if it can't, peers get the request, then it is refused with a time to come back. Test: TestStreamTakenUpAtInstanceOutOfStep failed before in two of its four cases and passes.

--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -51,6 +51,8 @@
 	// maxTurnDelay is how late a request that waited for its turn at a server with a limit
 	// may be sent. Otherwise a paused process would send all waiting requests at once.
 	maxTurnDelay = 200 * time.Millisecond
+	// maxReportedLoad bounds the load of a server that is believed.
+	maxReportedLoad = 1 << 20
 	// streamBufferBytes is the size of the copy buffer of a forwarded stream.
 	streamBufferBytes = 4096
 )
@@ -124,7 +126,7 @@
 	if s.verdict(r, service) == reach.Relay && s.forwardToPeers(ctx, c, r, state, service) == attemptDone {
 		return
 	}
-	if !s.findOrigin(ctx, c, r) {
+	if !s.findOrigin(ctx, c, r, state, service) {
 		return
 	}
 	if r.resumesAt != nil {
@@ -358,7 +360,8 @@
 	waitingText, _, _ := strings.Cut(rest, ",")
 	running, runningErr := strconv.Atoi(strings.TrimSpace(runningText))
 	waiting, waitingErr := strconv.Atoi(strings.TrimSpace(waitingText))
-	if runningErr == nil && waitingErr == nil {
+	plausible := min(running, waiting) >= 0 && max(running, waiting) <= maxReportedLoad
+	if runningErr == nil && waitingErr == nil && plausible {
 		handle.ReportLoad(running + waiting)
 	}
 }
--- a/internal/ingress/resume.go
+++ b/internal/ingress/resume.go
@@ -14,15 +14,18 @@
 	"go.uber.org/zap"
 )
 
-// findOrigin sets the origin of the stream that a request resumes, if any. It refuses the
-// request and returns false if no server of the software version that began the stream
-// can resume it.
-func (s *Server) findOrigin(ctx context.Context, c *app.RequestContext, r *callerRequest) bool {
+// findOrigin sets the origin of the stream that a request resumes, if any. It responds and
+// returns false if no server of the software version that began the stream can resume it. If
+// this instance cannot find out where the stream began, peers get the request.
+func (s *Server) findOrigin(ctx context.Context, c *app.RequestContext, r *callerRequest, state *forwardState, service string) bool {
 	if r.route.Kind != routetable.Streaming || !resumesStream(string(c.Request.Header.Peek(s.Headers.LastEventID))) {
 		return true
 	}
 	begunBy := string(c.Request.Header.Peek(s.Headers.Resumes))
 	recorded, err := s.Streams.Find(ctx, begunBy)
+	if recorded == nil && err == nil {
+		err = s.Software.Confirm(ctx, r.receivedAt)
+	}
 	services := r.route.Services()
 	origin, verdict := streamorigin.Decide(streamorigin.Knowledge{
 		Recorded: recorded, LookupFailed: err != nil, Services: services,
@@ -43,6 +46,13 @@
 		r.resumesAt = &origin
 		return true
 	case streamorigin.Unavailable:
+		if s.forwardToPeers(ctx, c, r, state, service) == attemptDone {
+			return false
+		}
+		if state.mayHaveRun {
+			s.respondError(c, r, http.StatusBadGateway, 0, state.reason)
+			return false
+		}
 		retryAfter = retryAfterUnavailable
 	case streamorigin.Gone, streamorigin.Unknown:
 	}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -65,6 +65,8 @@
 	Meter          *meter.Meter
 	Poison         *poison.Tracker
 	Streams        *streamorigin.Records
+	// Software brings the software versions in Pool up to date.
+	Software *pool.SoftwareReader
 	// Reach tells whether this instance reaches the servers of a service.
 	Reach   *reach.Monitor
 	Metrics *telemetry.Registry
@@ -251,8 +253,9 @@
 	if r.route != nil && r.route.Timeout > 0 {
 		limit = r.route.Timeout
 	}
-	if ms, err := strconv.ParseFloat(string(c.Request.Header.Peek(s.Headers.DeadlineMS)), 64); err == nil && ms > 0 {
-		limit = min(limit, time.Duration(ms*float64(time.Millisecond)))
+	// A larger number may not fit into a Duration.
+	if ms, err := strconv.ParseFloat(string(c.Request.Header.Peek(s.Headers.DeadlineMS)), 64); err == nil && ms > 0 && ms < float64(limit.Milliseconds()) {
+		limit = time.Duration(ms * float64(time.Millisecond))
 	}
 	return r.receivedAt.Add(limit)
 }
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -122,7 +122,7 @@
 	frontServer := ingress.New(ingress.Config{
 		Headers: e.adapter.Headers, Paths: e.adapter.Paths, Codec: e.adapter.Codec,
 		View: view, Pool: serverPool, Backends: backends, Jobs: batch.NewJobStore(store, s.MaxValueBytes),
-		StoreReachable: store.Reachable, Directory: entryDirectory, Clock: clock, Meter: usageMeter, Poison: poisonTracker, Streams: streams, Reach: paths, Metrics: e.metrics, Log: e.log,
+		StoreReachable: store.Reachable, Directory: entryDirectory, Clock: clock, Meter: usageMeter, Poison: poisonTracker, Streams: streams, Software: pool.NewSoftwareReader(store, e.adapter.ServersPrefix, serverPool), Reach: paths, Metrics: e.metrics, Log: e.log,
 		MaxBufferedBytes: int64(bufferedShare * float64(s.MemoryBytes)),
 		Address:          s.FrontAddress, FailureDomain: s.FailureDomain, MaxAddressTTL: s.MaxAddressTTL,
 	})
--- a/internal/node/software_test.go
+++ b/internal/node/software_test.go
@@ -271,3 +271,74 @@
 		})
 	}
 }
+
+// TestStreamTakenUpAtInstanceOutOfStep guards against streams that go on at another software
+// version at an instance that did not learn of the version which began them: it was cut off or
+// stood still when servers of that version joined.
+func TestStreamTakenUpAtInstanceOutOfStep(t *testing.T) {
+	t.Parallel()
+	const streams = 6
+	tests := []struct {
+		name string
+		// unrecorded means that the instance at which the streams began loses the store, too,
+		// so that it cannot record where they began.
+		unrecorded bool
+		// back means that the instance out of step reaches the store again when the streams are
+		// taken up, but has not learned of the changes.
+		back bool
+	}{
+		{"cut off", false, false},
+		{"cut off, without records", true, false},
+		{"just back", false, true},
+		{"just back, without records", true, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t, 2, 1)
+			c.putConfig(1, routeOverrides{"stream": {"Resumable": true, "MaxAttempts": 3}})
+			c.waitReady()
+			n := 0
+			c.eventually(func() bool { // the instance knows which versions served
+				n++
+				c.engines[0].TruncateStreamAfter(2)
+				c.engines[1].TruncateStreamAfter(2)
+				return c.takeUp(c.entries[1], c.beginStream(c.entries[0], fmt.Sprintf("first-%d", n))) == http.StatusOK
+			})
+			c.store.SetUnresponsive(c.entries[1].storeListener, true)
+			// A last event ends the watch of the instance, so that its next one gets no response.
+			c.store.Put("cluster/entry-poison/0000000000000001/0000000000000001", []byte("x"))
+			time.Sleep(500 * time.Millisecond)
+			newer := []*standin.BackendServer{c.addEngine(newerSoftware), c.addEngine(newerSoftware)}
+			for _, w := range newer {
+				c.eventually(func() bool { return strings.Contains(c.entries[0].out.text(), w.ID) })
+			}
+			time.Sleep(1500 * time.Millisecond)
+			c.store.SetUnresponsive(c.entries[0].storeListener, tt.unrecorded)
+			var begun []stream
+			for n := 0; len(begun) < streams; n++ {
+				for _, w := range c.engines {
+					w.TruncateStreamAfter(2)
+				}
+				if s := c.beginStream(c.entries[0], fmt.Sprintf("s-%d", n)); c.softwareOf(s.id) == newerSoftware {
+					begun = append(begun, s)
+				}
+			}
+			for _, w := range c.engines {
+				w.TruncateStreamAfter(0)
+			}
+			time.Sleep(300 * time.Millisecond) // the records are written
+			c.store.SetUnresponsive(c.entries[1].storeListener, !tt.back)
+			for _, s := range begun {
+				status := c.takeUp(c.entries[1], s)
+				second := c.softwareOf(s.id + "-2")
+				if status == http.StatusOK {
+					require.Equal(t, newerSoftware, second, "%s went on at another software version", s.id)
+					continue
+				}
+				require.Equal(t, http.StatusServiceUnavailable, status)
+				require.Empty(t, second, "a refused request ran")
+			}
+		})
+	}
+}
--- a/internal/streamorigin/decision.go
+++ b/internal/streamorigin/decision.go
@@ -22,13 +22,13 @@
 type Knowledge struct {
 	// Recorded is the origin that an instance recorded; nil if there is none.
 	Recorded *Origin
-	// LookupFailed means that the store, which has the records of the other instances,
-	// could not be read.
+	// LookupFailed means that the store, which has the records of the other instances and the
+	// versions that served, could not be read since the request came.
 	LookupFailed bool
 	// Services are those of the stream's route.
 	Services []string
 	// Seen holds the software versions of each of them that served within Retention; nil if
-	// this is not known for all that time.
+	// this is not known for all that time. It may lack the newest ones if LookupFailed is set.
 	Seen map[string][]string
 	// Ready holds the software versions of each of them that accept requests.
 	Ready map[string][]string
@@ -56,14 +56,15 @@
 
 // Decide returns the origin at which a stream must go on, and whether it can. A stream
 // without a record can still go on if all servers that may have begun it were of one
-// version.
+// version, which only the store can tell: it may have begun at a server of which this instance
+// was not told yet.
 func Decide(k Knowledge) (Origin, Verdict) {
 	origin, known := onlyOrigin(k)
 	if k.Recorded != nil {
 		origin, known = *k.Recorded, true
 	}
 	switch {
-	case !known && k.LookupFailed:
+	case k.Recorded == nil && k.LookupFailed:
 		return Origin{}, Unavailable
 	case !known:
 		return Origin{}, Unknown
