--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -147,10 +147,10 @@
 // resultWait returns how long the caller wants a read to wait for a result.
 func (s *Server) resultWait(c *app.RequestContext) time.Duration {
 	ms, err := strconv.Atoi(string(c.Request.Header.Peek(s.Headers.WaitMS)))
-	if err != nil {
+	if err != nil || ms < 0 {
 		return 0
 	}
-	return min(maxResultWait, time.Duration(ms)*time.Millisecond)
+	return time.Duration(min(ms, int(maxResultWait.Milliseconds()))) * time.Millisecond
 }
 
 // limitResults returns the leading results that fit into one response, but at
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -169,12 +169,15 @@
 	return t
 }
 
+// maxExpectedTokens bounds the length hints that are believed. No engine has memory for more.
+const maxExpectedTokens = 1 << 24
+
 // expectedTokens returns the expected output length of an item: the length hint
 // header, or else the token count in the item.
 func (s *Scheduler) expectedTokens(item *batch.Item) int {
 	for _, h := range item.Headers {
 		if http.CanonicalHeaderKey(h.Name) == http.CanonicalHeaderKey(s.Headers.LengthHint) {
-			if n, err := strconv.ParseFloat(h.Value, 64); err == nil {
+			if n, err := strconv.ParseFloat(h.Value, 64); err == nil && n >= 0 && n <= maxExpectedTokens {
 				return int(n)
 			}
 		}
