Requests that crash their servers are blocked at small services and as streams

Cause: crashes counted for nothing while the paths seemed lost, which the crashes bring about; a stream that broke off was never reported. Ruled out: reporting every lost connection (a cut would block sound requests; two cases of the test). Change: poison.Tracker.Suspect and ServerCrashed: a lost connection counts once the server registers with a new start or loses its registration without having been draining; Pool.NotifyCrashes. Why it works: only a server that crashed starts again or falls out of the registrations.

--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -51,6 +51,9 @@
 	// maxTurnDelay is how late a request that waited for its turn at a server with a limit
 	// may be sent. Otherwise a paused process would send all waiting requests at once.
 	maxTurnDelay = 200 * time.Millisecond
+	// maxCrashDelay is how long after the start of its stream a request may be the reason for
+	// the crash of its server.
+	maxCrashDelay = 2 * time.Second
 	// maxReportedLoad bounds the load of a server that is believed.
 	maxReportedLoad = 1 << 20
 	// streamBufferBytes is the size of the copy buffer of a forwarded stream.
@@ -71,8 +74,8 @@
 	metered bool
 	// connectionLost is set if the last attempt lost its connection.
 	connectionLost bool
-	// connectionLosses counts the attempts that lost their connection.
-	connectionLosses int
+	// lostServers are the servers of the attempts that lost their connection.
+	lostServers []pool.Server
 	// errorResponse is the last server error, which is sent if no attempt succeeds.
 	errorResponse *bufferedResponse
 	// reason describes the failure of the last attempt.
@@ -173,7 +176,7 @@
 			state.mayHaveRun = true
 			state.failures++
 			if state.connectionLost {
-				state.connectionLosses++
+				state.lostServers = append(state.lostServers, handle.Server())
 			}
 			if !r.route.Idempotent() {
 				s.respondFailure(ctx, c, r, state, service, fingerprint)
@@ -229,13 +232,7 @@
 
 // respondFailure sends the final response to a request that failed on all servers.
 func (s *Server) respondFailure(_ context.Context, c *app.RequestContext, r *callerRequest, state *forwardState, service string, fingerprint poison.Fingerprint) {
-	// Only reported when no attempt succeeded: a request that another server serves
-	// did not cause the earlier connection losses. Nor did it if the paths are lost.
-	if !s.Reach.Knowledge(service).Lost() {
-		for range state.connectionLosses {
-			s.Poison.ReportCrash(fingerprint)
-		}
-	}
+	s.reportCrashes(state, service, fingerprint)
 	switch {
 	case state.noPath && !state.mayHaveRun:
 		if r.relayed {
@@ -257,6 +254,21 @@
 	}
 }
 
+// reportCrashes reports the lost connections of a request for which no attempt succeeded: one
+// that another server serves did not cause them. If the paths to the servers seem lost, each
+// counts only once its server turns out to have crashed: at a small service, the request itself
+// may have taken down most servers.
+func (s *Server) reportCrashes(state *forwardState, service string, fingerprint poison.Fingerprint) {
+	pathsLost := s.Reach.Knowledge(service).Lost()
+	for _, server := range state.lostServers {
+		if pathsLost {
+			s.Poison.Suspect(fingerprint, server.ID, server.Born)
+		} else {
+			s.Poison.ReportCrash(fingerprint)
+		}
+	}
+}
+
 // attempt sends a request to one server. The response goes to the caller unless
 // another attempt may still succeed.
 func (s *Server) attempt(ctx context.Context, c *app.RequestContext, r *callerRequest, state *forwardState, handle *pool.Handle) attemptResult {
@@ -296,7 +308,15 @@
 		if r.route.Resumable && r.resumesAt == nil {
 			s.Streams.Begin(r.id, streamorigin.Origin{Service: server.Service, Software: server.Software}, r.route.Services())
 		}
-		return s.forwardStream(ctx, c, r, server.ID, handle.Release, response)
+		begunAt := time.Now()
+		broken := func() {
+			// Faulty servers break streams off, too, and callers resume them: only the end of
+			// the server itself, soon after the start, counts against the request.
+			if time.Since(begunAt) < maxCrashDelay {
+				s.Poison.Suspect(poison.FingerprintOf(r.customer, r.path, c.Request.Body()), server.ID, server.Born)
+			}
+		}
+		return s.forwardStream(ctx, c, r, server.ID, handle.Release, response, broken)
 	}
 	return s.forwardBuffered(ctx, c, r, state, 1, server.ID, handle.Release, response)
 }
@@ -474,8 +494,9 @@
 
 // forwardStream sends events to the caller as they arrive. If the server's stream
 // is incomplete, the caller's connection is closed without the final chunk, so
-// that the caller can tell. sender names the server or peer; release releases it.
-func (s *Server) forwardStream(ctx context.Context, c *app.RequestContext, r *callerRequest, sender string, release func(pool.Outcome), response *http1.Response) attemptResult {
+// that the caller can tell. sender names the server or peer; release releases it, and broken is
+// called if its connection is lost while the caller and the instance still wait.
+func (s *Server) forwardStream(ctx context.Context, c *app.RequestContext, r *callerRequest, sender string, release func(pool.Outcome), response *http1.Response, broken func()) attemptResult {
 	s.copyHeaders(c, response.Headers())
 	nameServer(c, r, sender)
 	c.SetStatusCode(response.Status())
@@ -500,6 +521,9 @@
 			return attemptDone
 		}
 		if err != nil {
+			if ctx.Err() == nil {
+				broken()
+			}
 			releaseBroken(ctx, release)
 			s.Log.Info("request: stream broke off", zap.String("id", r.id), zap.String("server", sender), zap.String("reason", err.Error()))
 			_ = c.GetConn().Close()
--- a/internal/ingress/peer.go
+++ b/internal/ingress/peer.go
@@ -151,7 +151,7 @@
 		s.Pool.MarkLeaving(response.Header(serverHeader))
 	}
 	if r.route.Kind == routetable.Streaming && status == http.StatusOK {
-		return s.forwardStream(ctx, c, r, "peer "+address, func(pool.Outcome) {}, response)
+		return s.forwardStream(ctx, c, r, "peer "+address, func(pool.Outcome) {}, response, func() {})
 	}
 	result := s.forwardBuffered(ctx, c, r, state, attempts, "peer "+address, func(pool.Outcome) {}, response)
 	if result == attemptFailed {
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -114,6 +114,7 @@
 	serverPool.UseShares(limitShares(s.Name, false, view, members))
 	entryDirectory := directory.New()
 	poisonTracker := poison.New(store, e.log)
+	serverPool.NotifyCrashes(func(server pool.Server) { poisonTracker.ServerCrashed(server.ID, server.Born) })
 	clock := walltime.New()
 	usageMeter := meter.New(store, incarnation(s.Name), s.UsageWindow, entryDirectory.Size, clock, e.log)
 	streams := streamorigin.NewRecords(store, func(services []string) map[string][]string {
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -27,6 +28,11 @@
 	reportTTL = 2 * time.Minute
 	// reportTimeout limits the time for writing a crash report.
 	reportTimeout = 3 * time.Second
+	// suspicionTime is how long after a connection was lost its server may turn out to have
+	// crashed: its registration lapses after three heartbeats, and the list of servers follows.
+	suspicionTime = 15 * time.Second
+	// maxSuspicions bounds the lost connections of which that is not known yet.
+	maxSuspicions = 4096
 	// queueSize is the maximum number of crash reports that wait to be written.
 	queueSize = 64
 )
@@ -48,7 +54,9 @@
 	log     *zap.Logger
 	reports chan Fingerprint
 
-	mu           sync.Mutex
+	mu sync.Mutex
+	// suspicions are the lost connections whose servers may have crashed, the oldest first.
+	suspicions   []suspicion
 	knownReports map[string]Fingerprint
 	crashes      map[Fingerprint]int
 }
@@ -65,6 +73,48 @@
 	return t.crashes[f] >= crashesToBlock
 }
 
+// suspicion is a connection that was lost while a server ran a request.
+type suspicion struct {
+	fingerprint Fingerprint
+	server      string
+	born        int64
+	at          time.Time
+}
+
+// Suspect records that the connection to one start of a server was lost during a request, when
+// the path to the server may be at fault as well. The crash is reported once ServerCrashed is
+// called for it.
+func (t *Tracker) Suspect(f Fingerprint, server string, born int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	for len(t.suspicions) > 0 && (len(t.suspicions) >= maxSuspicions || now.Sub(t.suspicions[0].at) > suspicionTime) {
+		t.suspicions = t.suspicions[1:]
+	}
+	t.suspicions = append(t.suspicions, suspicion{f, server, born, now})
+}
+
+// ServerCrashed reports the crashes of the requests during which the connection to a start of a
+// server was lost.
+func (t *Tracker) ServerCrashed(server string, born int64) {
+	t.mu.Lock()
+	var confirmed []Fingerprint
+	now := time.Now()
+	t.suspicions = slices.DeleteFunc(t.suspicions, func(s suspicion) bool {
+		if s.server != server || s.born != born {
+			return false
+		}
+		if now.Sub(s.at) <= suspicionTime {
+			confirmed = append(confirmed, s.fingerprint)
+		}
+		return true
+	})
+	t.mu.Unlock()
+	for _, f := range confirmed {
+		t.ReportCrash(f)
+	}
+}
+
 // ReportCrash queues a crash report for a request during which the connection to a
 // backend server was lost.
 func (t *Tracker) ReportCrash(f Fingerprint) {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -72,6 +72,7 @@
 	reachable      bool
 	reachableSince time.Time
 	onChange       func()
+	onCrash        func(Server)
 	share          ShareFunc
 	// seeds are the limits that another process published, by the id of the server.
 	seeds map[string]PublishedLimit
@@ -90,6 +91,21 @@
 	return &Pool{decode: decode, log: log, servers: map[string]*serverState{}, addresses: map[string]string{}, formerHolders: map[string]incarnation{}, departures: NewDepartures(), onChange: onChange, software: sightings{}, startedAt: time.Now()}
 }
 
+// NotifyCrashes sets a function that is called when a server, which was not leaving, has started
+// again or lost its registration. It is called with locks held and must not use the pool.
+func (p *Pool) NotifyCrashes(onCrash func(Server)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.onCrash = onCrash
+}
+
+// notifyCrash calls onCrash for a server that ended; the caller holds mu.
+func (p *Pool) notifyCrash(server Server) {
+	if p.onCrash != nil && !server.Draining {
+		p.onCrash(server)
+	}
+}
+
 // Reset replaces the registrations by a complete list.
 func (p *Pool) Reset(items []kv.Item) {
 	p.mu.Lock()
@@ -179,6 +195,7 @@
 			zap.String("address", server.Address), zap.Int64("born", server.Born), zap.String("software", server.Software))
 		if ok {
 			p.unindexAddress(item.Key, s.server)
+			p.notifyCrash(s.server)
 		}
 		s = &serverState{}
 		p.servers[item.Key] = s
@@ -209,6 +226,7 @@
 		p.log.Info("pool: server removed", zap.String("server", s.server.ID))
 		p.software.see(s.server.Service, s.server.Software, now)
 		p.unindexAddress(key, s.server)
+		p.notifyCrash(s.server)
 		if len(p.formerHolders) >= maxDepartures {
 			clear(p.formerHolders)
 		}
