A node takes the duty only by what it decided on

Change: canAcquire returns the key that it decided by, and acquire commits with its revision. TestFrozenHolder passes the last holder's key to acquire, as its new signature wants; its checks are unchanged.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -142,11 +142,12 @@
 	c.startedAt = c.clock()
 	c.mu.Unlock()
 	for ctx.Err() == nil {
-		if !c.canAcquire() {
+		last, ok := c.canAcquire()
+		if !ok {
 			kv.Sleep(ctx, pollInterval)
 			continue
 		}
-		lease, ok := c.acquire(ctx)
+		lease, ok := c.acquire(ctx, last)
 		if !ok {
 			kv.Sleep(ctx, pollInterval)
 			continue
@@ -156,32 +157,31 @@
 	return ctx.Err()
 }
 
-// canAcquire reports whether this node may try to take the duty. A restarted process
-// has no record of when its machine last held the duty, so it counts from its own
-// start.
-func (c *Candidate) canAcquire() bool {
+// canAcquire reports whether this node may try to take the duty, and the last holder's key that
+// it decided by. A restarted process has no record of when its machine last held the duty, so it
+// counts from its own start.
+func (c *Candidate) canAcquire() (last kv.Item, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.synced || c.holder.Revision != 0 {
-		return false
+		return kv.Item{}, false
 	}
-	holders := c.recentHolders()
+	holders := recentHolders(c.lastHolder)
 	if len(holders) > 0 && holders[0] == c.node {
-		return true
+		return c.lastHolder, true
 	}
 	heldUntil := c.heldUntil
 	if heldUntil == 0 {
 		if !slices.Contains(holders, c.node) {
-			return true
+			return c.lastHolder, true
 		}
 		heldUntil = c.startedAt
 	}
-	return c.clock() > heldUntil+c.reacquireGap+reacquireMargin
+	return c.lastHolder, c.clock() > heldUntil+c.reacquireGap+reacquireMargin
 }
 
 // recentHolders returns the names in the last holder's key, the last holder first.
-// The caller holds mu.
-func (c *Candidate) recentHolders() []string { return strings.Fields(string(c.lastHolder.Value)) }
+func recentHolders(last kv.Item) []string { return strings.Fields(string(last.Value)) }
 
 // nextHolders returns the value of the last holder's key once this node has taken the
 // duty.
@@ -195,20 +195,19 @@
 	return []byte(strings.Join(names, " "))
 }
 
-func (c *Candidate) acquire(ctx context.Context) (kv.LeaseID, bool) {
+// acquire takes the duty unless another node has held it since last was read: whether this node
+// may take it was decided by that.
+func (c *Candidate) acquire(ctx context.Context, last kv.Item) (kv.LeaseID, bool) {
 	sentAt := c.clock()
 	lease, err := c.store.Grant(ctx, leaseTTL)
 	if err != nil {
 		c.log.Warn("duty: lease not granted", zap.String("reason", err.Error()))
 		return 0, false
 	}
-	c.mu.Lock()
-	last := c.lastHolder.Revision
-	holders := nextHolders(c.node, c.recentHolders())
-	c.mu.Unlock()
+	holders := nextHolders(c.node, recentHolders(last))
 	value := []byte(c.node + " " + strconv.FormatInt(int64(lease), 10))
 	revision, err := c.store.Commit(ctx, kv.Txn{
-		Conditions: []kv.Condition{{Key: c.key}, {Key: c.key + lastHolderSuffix, Revision: last}},
+		Conditions: []kv.Condition{{Key: c.key}, {Key: c.key + lastHolderSuffix, Revision: last.Revision}},
 		Puts:       []kv.Put{{Key: c.key, Value: value, Lease: lease}, {Key: c.key + lastHolderSuffix, Value: holders}},
 	})
 	if err != nil && !errors.Is(err, kv.ErrRefused) {
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -164,7 +164,7 @@
 	n := New(kvtest.New(1, kvtest.Faults{}).Client(), "orders", "a", holderGap, zap.NewNop())
 	n.clock = func() time.Duration { return now }
 	n.Reset(nil)
-	lease, ok := n.acquire(t.Context())
+	lease, ok := n.acquire(t.Context(), n.lastHolder)
 	require.True(t, ok)
 	require.True(t, n.IsHolder())
 	sentAt := now
@@ -214,3 +214,50 @@
 		require.Equal(t, 1, holds)
 	})
 }
+
+// hookedGrant is a store that runs a function once before it grants a lease.
+type hookedGrant struct {
+	kv.Store
+	before func()
+}
+
+func (s *hookedGrant) Grant(ctx context.Context, ttl time.Duration) (kv.LeaseID, error) {
+	if before := s.before; before != nil {
+		s.before = nil
+		before()
+	}
+	return s.Store.Grant(ctx, ttl)
+}
+
+// TestHoldWhileLeaseIsGranted guards against a node that decides to take the duty as its last
+// holder, and takes it although another node held it for a moment while the lease was granted.
+func TestHoldWhileLeaseIsGranted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		start := time.Now()
+		client := kvtest.New(1, kvtest.Faults{}).Client()
+		last := Prefix + "orders" + lastHolderSuffix
+		put := func(value string) {
+			_, err := client.Commit(ctx, kv.Txn{Puts: []kv.Put{{Key: last, Value: []byte(value)}}})
+			require.NoError(t, err)
+		}
+		put("node-a")
+		store := &hookedGrant{Store: client, before: func() {
+			put("node-b node-a")
+			time.Sleep(200 * time.Millisecond) // the watch of node-a catches up
+		}}
+		n := New(store, "orders", "node-a", holderGap, zap.NewNop())
+		n.clock = func() time.Duration { return time.Since(start) + time.Hour }
+		n.heldUntil = n.clock()
+		go func() { _ = kv.NewFollower(client, Prefix, 0, n, zap.NewNop()).Run(ctx) }()
+		go func() { _ = n.Run(ctx, func(ctx context.Context, _ kv.LeaseID) { <-ctx.Done() }) }()
+		for time.Since(start) < holderGap {
+			require.False(t, n.IsHolder(), "the duty was taken again after %s", time.Since(start))
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(2 * time.Second)
+		require.True(t, n.IsHolder())
+		cancel()
+		time.Sleep(time.Minute)
+	})
+}
