--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -49,6 +49,9 @@
 	// idleTimeoutMargin is subtracted from the server's idle timeout, so that a
 	// request is not sent while the server closes the connection.
 	idleTimeoutMargin = 500 * time.Millisecond
+	// sweepInterval is the time between two searches for idle connections that may not be
+	// reused any more. Servers that are gone are not used again, so nothing else finds theirs.
+	sweepInterval = 2 * time.Second
 	// maxIdlePerAddress bounds the number of idle connections to one address.
 	maxIdlePerAddress = 16
 	// readBufferBytes is the size of a connection's read buffer.
@@ -117,6 +120,7 @@
 type Client struct {
 	mu       sync.Mutex
 	idle     map[string][]*conn
+	sweptAt  time.Time
 	open     atomic.Int64
 	observer Observer
 	dialer   DialFunc
@@ -357,16 +361,46 @@
 
 // putIdle returns a connection to the pool after a complete exchange.
 func (c *Client) putIdle(cn *conn, idle time.Duration) {
-	cn.reuseDeadline = time.Now().Add(idle)
+	now := time.Now()
+	cn.reuseDeadline = now.Add(idle)
 	c.mu.Lock()
+	expired := c.sweep(now)
 	full := len(c.idle[cn.address]) >= maxIdlePerAddress
 	if !full {
 		c.idle[cn.address] = append(c.idle[cn.address], cn)
 	}
 	c.mu.Unlock()
 	if full {
-		_ = cn.Close()
+		expired = append(expired, cn)
+	}
+	for _, old := range expired {
+		_ = old.Close()
+	}
+}
+
+// sweep removes and returns the idle connections that may not be reused any more, once in
+// sweepInterval. The caller holds mu.
+func (c *Client) sweep(now time.Time) []*conn {
+	if now.Sub(c.sweptAt) < sweepInterval {
+		return nil
+	}
+	c.sweptAt = now
+	var expired []*conn
+	for address, conns := range c.idle {
+		kept := slices.DeleteFunc(conns, func(cn *conn) bool {
+			if now.Before(cn.reuseDeadline) {
+				return false
+			}
+			expired = append(expired, cn)
+			return true
+		})
+		if len(kept) == 0 {
+			delete(c.idle, address)
+		} else {
+			c.idle[address] = kept
+		}
 	}
+	return expired
 }
 
 // reusable reports whether an idle connection is still open and holds no
--- a/internal/http1/client_test.go
+++ b/internal/http1/client_test.go
@@ -356,3 +356,23 @@
 		})
 	}
 }
+
+// TestConnectionsToFormerServers guards against idle connections to servers that are gone, which
+// are never used again, and so were never closed.
+func TestConnectionsToFormerServers(t *testing.T) {
+	answer := func(_ int64, c net.Conn, _ *http.Request) {
+		_, _ = fmt.Fprint(c, "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=1\r\nContent-Length: 2\r\n\r\nok")
+	}
+	client := http1.NewClient()
+	const former = 20
+	for range former {
+		_, err := get(t.Context(), client, newScriptedServer(t, answer).address)
+		require.NoError(t, err)
+	}
+	require.Equal(t, former, client.Connections())
+	left := newScriptedServer(t, answer)
+	require.Eventually(t, func() bool {
+		_, err := get(t.Context(), client, left.address)
+		return err == nil && client.Connections() == 1
+	}, 10*time.Second, 50*time.Millisecond, "connections to former servers stay open")
+}
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -155,10 +155,16 @@
 		stop()
 		<-p.done
 		closeStore()
+		if text := p.out.text(); c.t.Failed() {
+			c.t.Logf("the last log lines of %s:\n%s", name, text[max(0, len(text)-maxLoggedBytes):])
+		}
 	})
 	return p
 }
 
+// maxLoggedBytes bounds what a failed test prints of the log of each process.
+const maxLoggedBytes = 16 << 10
+
 // routeOverrides maps the name of a route to the fields that replace its defaults.
 type routeOverrides map[string]map[string]any
 
