A watch that is ended after a silence is sent again at once and counts for nothing else

Cause: a watch that ProbedStore ended was recorded as a failed call of the instance, so that job calls went to peers for a moment, and its follower waited 100 ms or more before it listed again, though the store is known to answer. Change: the probes lie outside what records whether the store is reachable, and the follower lists at once after a silence. Formats and probes are unchanged.

--- a/internal/kv/follow.go
+++ b/internal/kv/follow.go
@@ -79,8 +79,11 @@
 		if err == nil || errors.Is(err, ErrCompacted) && failures == 0 {
 			continue
 		}
-		failures++
 		f.view.Reachable(false)
+		if errors.Is(err, errSilence) && failures == 0 {
+			continue // the store answers again
+		}
+		failures++
 		f.log.Warn("store: cannot update the view, will retry", zap.String("reason", err.Error()), zap.Int("in-a-row", failures))
 		delay := min(minRetryDelay<<min(failures, 3), maxRetryDelay)
 		Sleep(ctx, delay/2+rand.N(delay))
--- a/internal/kv/probed.go
+++ b/internal/kv/probed.go
@@ -71,7 +71,9 @@
 // ended.
 type ProbedStore struct {
 	Store
-	log   *zap.Logger
+	// probes is where probes are sent.
+	probes Store
+	log    *zap.Logger
 	begun chan struct{}
 	lease atomic.Int64
 
@@ -86,9 +88,10 @@
 	end       context.CancelCauseFunc
 }
 
-// NewProbedStore returns a store that probes another one while Run runs.
-func NewProbedStore(store Store, log *zap.Logger) *ProbedStore {
-	return &ProbedStore{Store: store, log: log, begun: make(chan struct{}, 1), watches: map[int]runningWatch{}}
+// NewProbedStore returns a store whose watches are those of another one. While Run runs, probes
+// are sent through a client of the same store, which may leave out what the first one records.
+func NewProbedStore(store, probes Store, log *zap.Logger) *ProbedStore {
+	return &ProbedStore{Store: store, probes: probes, log: log, begun: make(chan struct{}, 1), watches: map[int]runningWatch{}}
 }
 
 // Watch implements Store.
@@ -102,7 +105,7 @@
 	defer p.remove(id)
 	events, at, err := p.Store.Watch(ctx, prefix, after, wait)
 	if err != nil && errors.Is(context.Cause(ctx), errSilence) {
-		return nil, 0, Class.New("%w: %v", ErrOutcomeUnknown, errSilence)
+		return nil, 0, Class.New("%w: %w", ErrOutcomeUnknown, errSilence)
 	}
 	return events, at, err
 }
@@ -184,11 +187,11 @@
 func (p *ProbedStore) renew(ctx context.Context) error {
 	lease := p.lease.Load()
 	if lease == 0 {
-		granted, err := p.Store.Grant(ctx, probeLeaseTTL)
+		granted, err := p.probes.Grant(ctx, probeLeaseTTL)
 		p.lease.CompareAndSwap(0, int64(granted))
 		return err
 	}
-	err := p.Store.KeepAlive(ctx, LeaseID(lease))
+	err := p.probes.KeepAlive(ctx, LeaseID(lease))
 	if errors.Is(err, ErrNotFound) {
 		p.lease.CompareAndSwap(lease, 0)
 	}
--- a/internal/kv/probed_test.go
+++ b/internal/kv/probed_test.go
@@ -116,7 +116,7 @@
 					require.NoError(t, err)
 				}
 				store := &silentStore{Store: client}
-				probed := kv.NewProbedStore(store, zap.NewNop())
+				probed := kv.NewProbedStore(store, store, zap.NewNop())
 				view := &mirror{}
 				go func() { _ = probed.Run(ctx) }()
 				go func() { _ = kv.NewFollower(probed, "op/", 0, view, zap.NewNop()).Run(ctx) }()
@@ -170,7 +170,8 @@
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
 				client := kvtest.New(1, kvtest.Faults{}).Client()
-				probed := kv.NewProbedStore(&scriptedRenewals{Store: client, renew: tt.renew}, zap.NewNop())
+				renewals := &scriptedRenewals{Store: client, renew: tt.renew}
+				probed := kv.NewProbedStore(client, renewals, zap.NewNop())
 				view := &mirror{}
 				go func() { _ = probed.Run(ctx) }()
 				go func() { _ = kv.NewFollower(probed, "op/", 0, view, zap.NewNop()).Run(ctx) }()
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -101,8 +101,8 @@
 	s := e.settings
 	backends := http1.NewClient()
 	metered := kv.WithMetrics(e.adapter.NewStore(http1.NewClient(), s.StoreAddress), e.metrics)
-	probed := kv.NewProbedStore(metered, e.log)
-	store := kv.NewMonitoredStore(probed)
+	monitored := kv.NewMonitoredStore(metered)
+	store := kv.NewProbedStore(monitored, metered, e.log)
 	view := routetable.NewView(e.adapter.Decoder, e.log, func() {})
 	serverPool := pool.New(e.adapter.DecodeServer, e.log, func() {})
 	if e.adapter.DialServers != nil {
@@ -123,7 +123,7 @@
 	frontServer := ingress.New(ingress.Config{
 		Headers: e.adapter.Headers, Paths: e.adapter.Paths, Codec: e.adapter.Codec,
 		View: view, Pool: serverPool, Backends: backends, Jobs: batch.NewJobStore(store, s.MaxValueBytes),
-		StoreReachable: store.Reachable, Directory: entryDirectory, Clock: clock, Meter: usageMeter, Poison: poisonTracker, Streams: streams, Software: pool.NewSoftwareReader(store, e.adapter.ServersPrefix, serverPool), Reach: paths, Metrics: e.metrics, Log: e.log,
+		StoreReachable: monitored.Reachable, Directory: entryDirectory, Clock: clock, Meter: usageMeter, Poison: poisonTracker, Streams: streams, Software: pool.NewSoftwareReader(store, e.adapter.ServersPrefix, serverPool), Reach: paths, Metrics: e.metrics, Log: e.log,
 		MaxBufferedBytes: int64(bufferedShare * float64(s.MemoryBytes)),
 		Address:          s.FrontAddress, FailureDomain: s.FailureDomain, MaxAddressTTL: s.MaxAddressTTL,
 	})
@@ -134,8 +134,8 @@
 		Add(pool.ServerListKey, serverSubscriber).Add(directory.Prefix, members).Add(pool.LimitListKey, serverPool.LimitView()).
 		Add(pool.SoftwareListKey, serverPool.SoftwareView())
 	components := newComponentGroup(workCtx, e.log)
-	components.start("probes", probed.Run)
-	replicas := e.newReplicas(store, entryDirectory, view, entryViews)
+	components.start("probes", store.Run)
+	replicas := e.newReplicas(store, monitored, entryDirectory, view, entryViews)
 	components.start("replica", replicas.follower.Run)
 	components.start("replica-server", replicas.serve)
 	components.start("servers", serverSubscriber.Run)
--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -23,7 +23,7 @@
 
 // newReplicas returns the replicas of an entry instance, which update the given
 // views.
-func (e *Entry) newReplicas(store *kv.MonitoredStore, members *directory.Directory, configView, sharedView kv.View) *replicas {
+func (e *Entry) newReplicas(store kv.Store, monitored *kv.MonitoredStore, members *directory.Directory, configView, sharedView kv.View) *replicas {
 	s := e.settings
 	signal := replica.NewSignal()
 	configTable, sharedTable := replica.NewTable(configView, signal), replica.NewTable(sharedView, signal)
@@ -39,11 +39,11 @@
 			<-config
 			<-shared
 		},
-		StoreReachable: store.Reachable, Client: http1.NewClient(), Log: e.log,
+		StoreReachable: monitored.Reachable, Client: http1.NewClient(), Log: e.log,
 	})
 	return &replicas{
 		follower: follower, entry: e, address: net.JoinHostPort(s.IP, strconv.Itoa(s.ReplicaPort)),
-		server: replica.NewServer(incarnation(s.Name), tables, signal, store.SinceContact, follower.Direct, e.log),
+		server: replica.NewServer(incarnation(s.Name), tables, signal, monitored.SinceContact, follower.Direct, e.log),
 	}
 }
 
--- a/internal/node/scheduler.go
+++ b/internal/node/scheduler.go
@@ -81,7 +81,7 @@
 func (n *Scheduler) Run(ctx context.Context) error {
 	s := n.settings
 	metered := kv.WithMetrics(n.adapter.NewStore(http1.NewClient(), s.StoreAddress), n.metrics)
-	store := kv.NewProbedStore(metered, n.log)
+	store := kv.NewProbedStore(metered, metered, n.log)
 	view := routetable.NewView(n.adapter.Decoder, n.log, n.notifyActive)
 	candidate := election.New(store, schedulerDuty, s.Name, s.HolderCooldown, n.log)
 	components := newComponentGroup(ctx, n.log)
