Probes of entry instances renew the registration

Ruled out: fewer probes (a silence of 0.3 s must be noticed), reads that may be stale (another replica may answer them). Change: ProbedStore.UseLease; the lease of the registration serves, also once it has expired. TestProbesWithLentLease.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cactusspoke/internal/kv"
@@ -255,6 +256,8 @@
 	lost func() []string
 	// frequent reports whether the lease is renewed at relayRenewInterval.
 	frequent func() bool
+	// lease is the last one granted; 0 before the first.
+	lease atomic.Int64
 }
 
 // NewRegistration returns the registration of an instance. While frequent returns
@@ -264,6 +267,9 @@
 	return &Registration{store: store, key: Prefix + name, address: address, domain: domain, frequent: frequent, lost: lost, log: log}
 }
 
+// Lease returns the lease of the registration, which may have expired; 0 before the first one.
+func (r *Registration) Lease() kv.LeaseID { return kv.LeaseID(r.lease.Load()) }
+
 // Run keeps the instance registered until the context ends, and then
 // unregisters it.
 func (r *Registration) Run(ctx context.Context) error {
@@ -289,6 +295,7 @@
 	if err != nil {
 		return 0, err
 	}
+	r.lease.Store(int64(lease))
 	return lease, r.write(ctx, lease, lost)
 }
 
--- a/internal/kv/probed.go
+++ b/internal/kv/probed.go
@@ -76,6 +76,8 @@
 	log    *zap.Logger
 	begun  chan struct{}
 	lease  atomic.Int64
+	// lent returns a lease of another part of the process.
+	lent func() LeaseID
 
 	mu      sync.Mutex
 	record  probeRecord
@@ -94,6 +96,10 @@
 	return &ProbedStore{Store: store, probes: probes, log: log, begun: make(chan struct{}, 1), watches: map[int]runningWatch{}}
 }
 
+// UseLease makes probes renew a lease that the process has anyway, instead of one of their own.
+// It returns 0 before there is one. UseLease must be called before Run.
+func (p *ProbedStore) UseLease(lease func() LeaseID) { p.lent = lease }
+
 // Watch implements Store.
 func (p *ProbedStore) Watch(ctx context.Context, prefix string, after Revision, wait time.Duration) ([]Item, Revision, error) {
 	if wait <= maxUnprobedWait {
@@ -183,8 +189,16 @@
 	}
 }
 
-// renew renews the lease of the probes, or creates it.
+// renew renews the lease of the probes. Whether the lease still exists does not matter, as long
+// as the store answers.
 func (p *ProbedStore) renew(ctx context.Context) error {
+	if p.lent != nil {
+		lease := p.lent()
+		if lease == 0 {
+			return ErrRefused // there is nothing to renew yet
+		}
+		return p.probes.KeepAlive(ctx, lease)
+	}
 	lease := p.lease.Load()
 	if lease == 0 {
 		granted, err := p.probes.Grant(ctx, probeLeaseTTL)
--- a/internal/kv/probed_test.go
+++ b/internal/kv/probed_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -199,3 +200,35 @@
 	s.mu.Unlock()
 	return s.renew(ctx, n)
 }
+
+// TestProbesWithLentLease checks that probes renew the lease they were lent, which may have
+// expired, create none, and wait until there is one.
+func TestProbesWithLentLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		client := kvtest.New(1, kvtest.Faults{}).Client()
+		var lent atomic.Int64
+		store := &silentStore{Store: client}
+		probes := &scriptedRenewals{Store: store, renew: func(ctx context.Context, _ int) error {
+			require.NotZero(t, lent.Load())
+			return store.KeepAlive(ctx, kv.LeaseID(lent.Load()))
+		}}
+		probed := kv.NewProbedStore(store, probes, zap.NewNop())
+		probed.UseLease(func() kv.LeaseID { return kv.LeaseID(lent.Load()) })
+		view := &mirror{}
+		go func() { _ = probed.Run(ctx) }()
+		go func() { _ = kv.NewFollower(probed, "op/", 0, view, zap.NewNop()).Run(ctx) }()
+		time.Sleep(time.Second)
+		lent.Store(12345) // expired
+		time.Sleep(time.Second)
+		store.setSilent(true)
+		_, err := client.Commit(ctx, kv.Txn{Puts: []kv.Put{{Key: "op/config", Value: []byte("new")}}})
+		require.NoError(t, err)
+		time.Sleep(700 * time.Millisecond)
+		store.setSilent(false)
+		time.Sleep(3 * time.Second)
+		require.Equal(t, "new", view.value("op/config"))
+		cancel()
+		time.Sleep(time.Minute)
+	})
+}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -134,8 +134,10 @@
 		Add(pool.ServerListKey, serverSubscriber).Add(directory.Prefix, members).Add(pool.LimitListKey, serverPool.LimitView()).
 		Add(pool.SoftwareListKey, serverPool.SoftwareView())
 	components := newComponentGroup(workCtx, e.log)
-	components.start("probes", store.Run)
 	replicas := e.newReplicas(store, monitored, entryDirectory, view, entryViews)
+	registration := directory.NewRegistration(store, s.Name, s.FrontAddress, s.FailureDomain, replicas.follower.Direct, paths.Lost, e.log)
+	store.UseLease(registration.Lease)
+	components.start("probes", store.Run)
 	components.start("replica", replicas.follower.Run)
 	components.start("replica-server", replicas.serve)
 	components.start("servers", serverSubscriber.Run)
@@ -153,7 +155,7 @@
 	defer stopRegistration()
 	components.start("registration", func(context.Context) error {
 		pollUntil(registrationCtx, func() bool { return view.Table() != nil })
-		return directory.NewRegistration(store, s.Name, s.FrontAddress, s.FailureDomain, replicas.follower.Direct, paths.Lost, e.log).Run(registrationCtx)
+		return registration.Run(registrationCtx)
 	})
 	components.start("streams", streams.Run)
 	usageCtx, stopUsage := context.WithCancel(context.Background())
