White space around the value of a header is no reason to refuse a request

Cause (mine, found in the last reading): the check of "Text that cannot stand in a request ..." refused values with spaces or tabs around them with 400, though HTTP/1.1 allows them; ids need the stricter check only. TestWhitespaceAroundValues failed before ("\tx" was answered 400) and passes.

--- a/internal/http1/validate.go
+++ b/internal/http1/validate.go
@@ -38,7 +38,14 @@
 // ValidHost reports whether a text can be the value of a Host header.
 func ValidHost(host string) bool { return host != "" && httpguts.ValidHostHeader(host) }
 
-// ValidHeader reports whether a header can be sent, and is received with the same value.
+// ValidHeader reports whether a header can be sent as it is. White space around the value is
+// allowed, and its receiver drops it.
 func ValidHeader(h Header) bool {
-	return httpguts.ValidHeaderFieldName(h.Name) && httpguts.ValidHeaderFieldValue(h.Value) && strings.Trim(h.Value, " \t") == h.Value
+	return httpguts.ValidHeaderFieldName(h.Name) && httpguts.ValidHeaderFieldValue(h.Value)
+}
+
+// ValidID reports whether a text can be the value of a header that identifies something, which
+// its receiver must get unchanged.
+func ValidID(id string) bool {
+	return id != "" && httpguts.ValidHeaderFieldValue(id) && strings.Trim(id, " \t") == id
 }
