One end of a server counts as one crash by a request

Callers saw: streams refused with "request crashed several servers" after two servers had left. Cause (mine, of "Requests that crash their servers ..."): each lost connection to a server that ended was a crash of its own, so twelve equal streams at two servers made more than three. TestSuspicions is new.

--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -94,8 +94,8 @@
 	t.suspicions = append(t.suspicions, suspicion{f, server, born, now})
 }
 
-// ServerCrashed reports the crashes of the requests during which the connection to a start of a
-// server was lost.
+// ServerCrashed reports a crash for each request during which the connection to a start of a
+// server was lost. Several such losses are one crash.
 func (t *Tracker) ServerCrashed(server string, born int64) {
 	t.mu.Lock()
 	var confirmed []Fingerprint
@@ -104,7 +104,7 @@
 		if s.server != server || s.born != born {
 			return false
 		}
-		if now.Sub(s.at) <= suspicionTime {
+		if now.Sub(s.at) <= suspicionTime && !slices.Contains(confirmed, s.fingerprint) {
 			confirmed = append(confirmed, s.fingerprint)
 		}
 		return true
