--- a/internal/pool/confirm.go
+++ b/internal/pool/confirm.go
@@ -31,7 +31,7 @@
 	return &SoftwareReader{store: store, prefix: prefix, pool: pool}
 }
 
-// Confirm returns nil once the pool knows every software version that was registered before a
+// Confirm returns nil once the pool holds every software version that was registered before a
 // time. Callers share a reading that began after the times of all of them.
 func (r *SoftwareReader) Confirm(ctx context.Context, since time.Time) error {
 	r.mu.Lock()
--- a/internal/protocol/forwarded.go
+++ b/internal/protocol/forwarded.go
@@ -13,7 +13,7 @@
 	"content-length": true, "host": true, "expect": true,
 }
 
-// HopByHop tells which headers of a message apply to a single connection.
+// HopByHop is the set of headers of a message that apply to a single connection.
 type HopByHop struct{ options map[string]bool }
 
 // NewHopByHop returns the hop-by-hop headers of a message: the usual ones and those that the
