--- a/internal/forward/matrix_test.go
+++ b/internal/forward/matrix_test.go
@@ -375,6 +375,7 @@
 	s := requestKind{name: "once", kind: profile.Plain, key: "k1"}
 	b.setFaults(`{"frozen":true}`)
 	require.Error(t, b.send(s, &recordingSink{}))
+	time.Sleep(50 * time.Millisecond) // the service is still frozen when the caller has left
 	b.setFaults(`{"frozen":false}`)
 	require.Eventually(t, func() bool { return b.runCount() > 0 }, 5*time.Second, 5*time.Millisecond)
 	require.Never(t, func() bool { return b.runCount() > 1 }, 300*time.Millisecond, 10*time.Millisecond,
--- a/internal/lab/backend.go
+++ b/internal/lab/backend.go
@@ -84,8 +84,8 @@
 	}
 }
 
-func (b *backend) handleLoad(ctx context.Context, c *app.RequestContext) {
-	if !b.faults.beforeRequest(ctx, c) {
+func (b *backend) handleLoad(_ context.Context, c *app.RequestContext) {
+	if !b.faults.beforeRequest(c) {
 		return
 	}
 	now := time.Now()
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -19,14 +19,16 @@
 // Faults holds the faults that a simulator injects. They can be changed over HTTP
 // while it runs.
 type Faults struct {
-	mu   sync.Mutex
-	wire faultsWire
+	mu      sync.Mutex
+	wire    faultsWire
+	stopped bool
 }
 
 // faultsWire is the JSON form of the faults. Decoding leaves a fault that the JSON
 // does not name unchanged.
 type faultsWire struct {
-	// Frozen holds all requests without answering until it is cleared.
+	// Frozen holds all requests without answering until it is cleared. Like a frozen process, a
+	// frozen plain service does not notice that a caller leaves: it runs the request later.
 	Frozen bool `json:"frozen"`
 	// SlowMS delays every request by this many milliseconds.
 	SlowMS int `json:"slow-ms"`
@@ -94,15 +96,38 @@
 // frozenPollInterval is how often a frozen request checks whether it may continue.
 const frozenPollInterval = 20 * time.Millisecond
 
-// beforeRequest applies the faults that delay or refuse a request and reports
-// whether to execute it.
-func (f *Faults) beforeRequest(ctx context.Context, c *app.RequestContext) bool {
-	for f.current().Frozen {
-		if ctx.Err() != nil {
-			return false
+// stop gives up the requests that a frozen simulator holds, since it ends.
+func (f *Faults) stop() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.stopped = true
+}
+
+// holding reports whether requests are held; ok is false once the simulator ends.
+func (f *Faults) holding() (frozen, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.wire.Frozen, !f.stopped
+}
+
+// hold waits while the simulator is frozen, whether or not the caller is still there. It
+// returns false if the simulator ends before.
+func (f *Faults) hold() bool {
+	for {
+		frozen, ok := f.holding()
+		if !frozen || !ok {
+			return ok
 		}
 		time.Sleep(frozenPollInterval)
 	}
+}
+
+// beforeRequest applies the faults that delay or refuse a request and reports
+// whether to execute it.
+func (f *Faults) beforeRequest(c *app.RequestContext) bool {
+	if !f.hold() {
+		return false
+	}
 	now := f.current()
 	if now.SlowMS > 0 {
 		time.Sleep(time.Duration(now.SlowMS) * time.Millisecond)
--- a/internal/lab/server.go
+++ b/internal/lab/server.go
@@ -40,7 +40,10 @@
 }
 
 // Serve runs the server until the context is cancelled.
-func (s *server) Serve(ctx context.Context) error { return s.http.Serve(ctx) }
+func (s *server) Serve(ctx context.Context) error {
+	defer context.AfterFunc(ctx, s.faults.stop)()
+	return s.http.Serve(ctx)
+}
 
 func (s *server) setFaults(_ context.Context, c *app.RequestContext) {
 	if err := s.faults.Set(c.Request.Body()); err != nil {
@@ -53,7 +56,7 @@
 // handleWithFaults registers a handler that the configured faults apply to.
 func (s *server) handleWithFaults(method, pattern string, next web.Handler) {
 	s.http.Handle(method, pattern, func(ctx context.Context, c *app.RequestContext) {
-		if !s.faults.beforeRequest(ctx, c) {
+		if !s.faults.beforeRequest(c) {
 			return
 		}
 		next(ctx, c)
