scheduler: a checkpoint never reads an output that its run is changing

Cause: run.mu guards the output of a running item, but three places that discard the output and the one that notes the version of the response's headers did not take it, while checkpoints copy it. Besides, a checkpoint before the first event of a resumed run named the version of the new headers as that of the last event, which an older version had generated.

Found by: TestJobMatrix in eight processes at once, under the race detector; both reported it in each of those runs. Ruled out: the stand-ins, they are not on the stacks.

Change: the version of the headers is a field of the run, all changes take the lock. TestReadEvents sets that field, where it set the output's version before; its cases are the same.

Before: TestSnapshotDuringRun has a race report in each of its four cases, and two of them see the wrong version without the race detector. After: 20 of 20 under the race detector.

--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -122,9 +122,11 @@
 	eventTimeout time.Duration
 	// singleVersion requires that all events come from one weight version.
 	singleVersion bool
-	// mu guards output during the run.
+	// mu guards output during the run. The run, which alone changes it, reads it without mu.
 	mu     sync.Mutex
 	output *output
+	// version is the weight version in the headers of the response.
+	version int64
 	// resumedEvents is the number of events in the output when the run began, and
 	// newEvents the number added since.
 	resumedEvents int
@@ -248,17 +250,17 @@
 	}
 	if r.output.events > 0 && r.singleVersion && version != r.output.version {
 		r.reason = "weight version changed during the output"
-		*r.output = output{}
+		r.discardOutput()
 		return outcomeInterrupted, true
 	}
-	r.output.version = version
+	r.version = version
 	return outcomeComplete, false
 }
 
 // readEvents reads the events of a response into the output.
 func (r *run) readEvents(response io.Reader, watchdog *time.Timer) outcome {
 	reader := bufio.NewReaderSize(response, eventBufferBytes)
-	version := r.output.version
+	version := r.version
 	id := 0
 	var data []byte
 	started := false
@@ -281,22 +283,19 @@
 			}
 			if r.item.ExpectedTokens > 0 && id > r.item.ExpectedTokens {
 				r.reason = "more events than the item has tokens"
-				*r.output = output{}
+				r.discardOutput()
 				return outcomeInterrupted
 			}
 			if r.singleVersion && r.output.events > 0 && version != r.output.version {
 				r.reason = "weight version changed during the output"
-				*r.output = output{}
+				r.discardOutput()
 				return outcomeInterrupted
 			}
 			if version < r.job.MinVersion {
 				r.reason = "weights reverted to version " + strconv.FormatInt(version, 10)
 				return outcomeStale
 			}
-			r.mu.Lock()
-			r.output.addEvent(version, data)
-			r.output.software = r.server.Software
-			r.mu.Unlock()
+			r.addEvent(version, data)
 			r.recordEvent(time.Now().UnixNano())
 			watchdog.Reset(r.eventTimeout)
 			started, data, id = false, data[:0], 0
@@ -327,6 +326,21 @@
 	}
 }
 
+// addEvent appends an event of the server to the output.
+func (r *run) addEvent(version int64, data []byte) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.output.addEvent(version, data)
+	r.output.software = r.server.Software
+}
+
+// discardOutput makes the output empty, so that the next run starts over.
+func (r *run) discardOutput() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	*r.output = output{}
+}
+
 // snapshot returns a copy of the current output.
 func (r *run) snapshot() *output {
 	r.mu.Lock()
--- a/internal/scheduler/run_test.go
+++ b/internal/scheduler/run_test.go
@@ -60,7 +60,7 @@
 			if tt.had > 0 {
 				r.output.addEvent(4, []byte("had"))
 			}
-			r.output.version = 5
+			r.version = 5
 			var stream io.Reader = strings.NewReader(tt.stream)
 			if tt.cut {
 				stream = cutOff{stream}
