kv: probes of a busy store become fewer, and a slow answer is not a lost one

Change: the interval between probes is at least what an answer took lately, up to 1 s; a slow store gets no probe for a new watch; a probe is lost if it fails or if it is not answered within a patience after a later one was; watches are ended once a second at most.

TestProbesOfSlowStore/overloaded for seconds and TestProbesOfErraticStore fail before (6 resets, 24 lists in 20 s).

--- a/internal/kv/probed.go
+++ b/internal/kv/probed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,55 +13,109 @@
 
 const (
 	// probeInterval is the time between two probes. A shorter silence of the store may go
-	// unnoticed.
-	probeInterval = 300 * time.Millisecond
+	// unnoticed. Where answers take longer it is that time, up to maxProbeInterval, so that
+	// probes do not pile up at a store or in a process that has too much to do.
+	probeInterval    = 300 * time.Millisecond
+	maxProbeInterval = time.Second
 	// probeDelay is the time between the start of a watch and the probe that follows it. The
 	// probe must reach the store after the watch.
 	probeDelay = 10 * time.Millisecond
-	// probeTimeout is when a probe counts as lost. A slow store takes up to half a second.
-	probeTimeout = 800 * time.Millisecond
+	// minPatience is how long a probe may still be answered after a later one was, before it
+	// counts as lost. A slow store takes up to half a second.
+	minPatience = 500 * time.Millisecond
+	// patienceMemory is how long a slow answer to a probe extends the patience with others and
+	// the time between probes.
+	patienceMemory = 10 * time.Second
+	// probeTimeout is when a probe counts as lost whatever was answered since.
+	probeTimeout = 1500 * time.Millisecond
+	// minEndInterval is the time between two times that watches are ended. Each is sent again
+	// with a list before it, so a store that is too busy to answer some probes must not get
+	// that work as often as it is probed.
+	minEndInterval = time.Second
 	// probeLeaseTTL is the lifetime of the lease that probes renew. No key is bound to it.
 	probeLeaseTTL = time.Minute
 	// maxUnprobedWait is the longest wait of a watch that is not probed: it ends soon anyway.
 	maxUnprobedWait = 2 * time.Second
+	// answersKept bounds the answered probes that a record remembers: more than are sent while
+	// one is awaited.
+	answersKept = 32
 )
 
 // errSilence is the cause for which a watch is ended.
 var errSilence = Class.New("the store was silent since the watch began")
 
-// probeRecord holds the outcomes of probes.
+// probeRecord holds the outcomes of probes. Probes are named by the time at which they were
+// sent. It tells a store that is silent, whose calls are lost, from one that is slow: there
+// the answers come late, but they come, about in the order of the calls.
 type probeRecord struct {
-	// answeredAt is when the latest answered probe was sent.
-	answeredAt time.Time
-	// lostAt is when the latest lost probe was sent that no later answered one followed.
-	lostAt time.Time
+	awaited []time.Time
+	// answers are the latest answered probes, in the order in which they were sent.
+	answers []time.Time
+	// slowest is the longest time that an answer took lately, slowAt when it came.
+	slowest time.Duration
+	slowAt  time.Time
+	// lostAt is when the latest lost probe was sent, and answersSince when the first answered one
+	// after it was; zero if there is none yet.
+	lostAt, answersSince time.Time
 }
 
-// answered records that a probe was answered. Watches that began before the returned time may
-// have lost their response; the time is zero if no probe was lost.
-func (r *probeRecord) answered(sentAt time.Time) (doubtfulBefore time.Time) {
-	if sentAt.After(r.answeredAt) {
-		r.answeredAt = sentAt
+// sent records that a probe is sent.
+func (r *probeRecord) sent(at time.Time) { r.awaited = append(r.awaited, at) }
+
+// forget removes a probe that is not awaited any more.
+func (r *probeRecord) forget(sentAt time.Time) {
+	r.awaited = slices.DeleteFunc(r.awaited, sentAt.Equal)
+}
+
+// answered records that a probe was answered, and returns how long to wait for the answers to
+// earlier ones before passedOver.
+func (r *probeRecord) answered(sentAt, now time.Time) (patience time.Duration) {
+	r.forget(sentAt)
+	i, _ := slices.BinarySearchFunc(r.answers, sentAt, time.Time.Compare)
+	r.answers = slices.Insert(r.answers, i, sentAt)
+	r.answers = r.answers[max(0, len(r.answers)-answersKept):]
+	if took := now.Sub(sentAt); took >= r.latency(now) {
+		r.slowest, r.slowAt = took, now
 	}
-	return r.resolve()
+	return min(max(minPatience, r.slowest), probeTimeout)
 }
 
-// lost records that a probe was never answered, and returns the same as answered.
-func (r *probeRecord) lost(sentAt time.Time) (doubtfulBefore time.Time) {
+// latency returns the longest time that an answer took lately.
+func (r *probeRecord) latency(now time.Time) time.Duration {
+	if now.Sub(r.slowAt) > patienceMemory {
+		return 0
+	}
+	return r.slowest
+}
+
+// passedOver records that probes which were sent before an answered one, and are not answered
+// after the patience with them, are lost.
+func (r *probeRecord) passedOver(answered time.Time) {
+	for _, sentAt := range r.awaited {
+		if sentAt.Before(answered) {
+			r.lost(sentAt)
+		}
+	}
+}
+
+// lost records that a probe is never answered.
+func (r *probeRecord) lost(sentAt time.Time) {
 	if sentAt.After(r.lostAt) {
-		r.lostAt = sentAt
+		r.lostAt, r.answersSince = sentAt, time.Time{}
 	}
-	return r.resolve()
 }
 
-// resolve returns the time from which the store is known to answer again after it was silent,
-// once that is known.
-func (r *probeRecord) resolve() time.Time {
-	if r.lostAt.IsZero() || !r.answeredAt.After(r.lostAt) {
-		return time.Time{}
+// doubtfulBefore returns the time before which watches began that may have lost their response:
+// when the first answered probe after the latest lost one was sent. It is zero if no probe
+// was lost or none was answered since.
+func (r *probeRecord) doubtfulBefore() time.Time {
+	if r.lostAt.IsZero() || !r.answersSince.IsZero() {
+		return r.answersSince
 	}
-	r.lostAt = time.Time{}
-	return r.answeredAt
+	if i := slices.IndexFunc(r.answers, func(at time.Time) bool { return at.After(r.lostAt) }); i >= 0 {
+		r.answersSince = r.answers[i]
+	}
+	return r.answersSince
 }
 
 // ProbedStore is a Store whose long watches end with an error once the store was silent since
@@ -83,6 +138,9 @@
 	record  probeRecord
 	nextID  int
 	watches map[int]runningWatch
+	// endedAt is when watches were last ended. deferred is set while an end is put off.
+	endedAt  time.Time
+	deferred bool
 }
 
 type runningWatch struct {
@@ -141,52 +199,112 @@
 	return len(p.watches) > 0
 }
 
-// Run probes the store while there are watches, until ctx ends.
+// Run probes the store while there are watches, until ctx ends: at intervals and after the
+// start of each watch, unless the store is slow.
 func (p *ProbedStore) Run(ctx context.Context) error {
+	var probedAt time.Time
 	for ctx.Err() == nil {
-		var interval <-chan time.Time
+		interval := p.interval(time.Now())
+		var due <-chan time.Time
 		if p.watching() {
-			interval = time.After(probeInterval)
+			due = time.After(time.Until(probedAt.Add(interval)))
 		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-p.begun:
+			if interval > probeInterval {
+				continue
+			}
 			Sleep(ctx, probeDelay)
-		case <-interval:
+		case <-due:
 		}
+		probedAt = time.Now()
 		go p.probe(ctx)
 	}
 	return ctx.Err()
 }
 
+// interval returns the time between two probes.
+func (p *ProbedStore) interval(now time.Time) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return min(max(probeInterval, p.record.latency(now)), maxProbeInterval)
+}
+
 // probe sends one probe and ends the watches that may have lost their response.
 func (p *ProbedStore) probe(parent context.Context) {
 	ctx, cancel := context.WithTimeout(parent, probeTimeout)
 	defer cancel()
 	sentAt := time.Now()
+	p.mu.Lock()
+	p.record.sent(sentAt)
+	p.mu.Unlock()
 	err := p.renew(ctx)
-	if parent.Err() != nil || errors.Is(err, ErrRefused) {
-		return // refused watches end by themselves
+	patience, answered := p.recordOutcome(sentAt, err)
+	if answered && patience > 0 {
+		Sleep(parent, patience)
+		p.mu.Lock()
+		p.record.passedOver(sentAt)
+		p.mu.Unlock()
+	}
+	if parent.Err() == nil {
+		p.endDoubtful(parent)
 	}
+}
+
+// recordOutcome records the outcome of a probe. If it was answered and earlier ones are not
+// yet, it returns how long to wait for these.
+func (p *ProbedStore) recordOutcome(sentAt time.Time, err error) (patience time.Duration, answered bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var doubtfulBefore time.Time
-	if err == nil || errors.Is(err, ErrNotFound) {
-		doubtfulBefore = p.record.answered(sentAt)
-	} else {
-		doubtfulBefore = p.record.lost(sentAt)
+	switch {
+	case errors.Is(err, ErrRefused):
+		p.record.forget(sentAt) // refused watches end by themselves
+		return 0, false
+	case err != nil && !errors.Is(err, ErrNotFound):
+		p.record.forget(sentAt)
+		p.record.lost(sentAt)
+		return 0, false
+	}
+	patience = p.record.answered(sentAt, time.Now())
+	if !slices.ContainsFunc(p.record.awaited, sentAt.After) {
+		return 0, true
 	}
-	ended := 0
+	return patience, true
+}
+
+// endDoubtful ends the watches that may have lost their response, now or minEndInterval after
+// it last did.
+func (p *ProbedStore) endDoubtful(ctx context.Context) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	doubtfulBefore := p.record.doubtfulBefore()
+	var doubtful []runningWatch
 	for _, w := range p.watches {
 		if w.startedAt.Before(doubtfulBefore) {
-			w.end(errSilence)
-			ended++
+			doubtful = append(doubtful, w)
 		}
 	}
-	if ended > 0 {
-		p.log.Warn("store: was silent, watches are sent again", zap.Int("watches", ended), zap.Time("answers-since", doubtfulBefore))
+	if len(doubtful) == 0 || p.deferred {
+		return
+	}
+	if rest := minEndInterval - time.Since(p.endedAt); rest > 0 {
+		p.deferred = true
+		go func() {
+			Sleep(ctx, rest)
+			p.mu.Lock()
+			p.deferred = false
+			p.mu.Unlock()
+			p.endDoubtful(ctx)
+		}()
+		return
+	}
+	p.endedAt = time.Now()
+	for _, w := range doubtful {
+		w.end(errSilence)
 	}
+	p.log.Warn("store: was silent, watches are sent again", zap.Int("watches", len(doubtful)), zap.Time("answers-since", doubtfulBefore))
 }
 
 // renew renews the lease of the probes. Whether the lease still exists does not matter, as long
--- a/internal/kv/probed_test.go
+++ b/internal/kv/probed_test.go
@@ -158,6 +158,10 @@
 		renew func(ctx context.Context, n int) error
 	}{
 		{"slow", func(ctx context.Context, _ int) error { kv.Sleep(ctx, 600*time.Millisecond); return nil }},
+		{"overloaded for seconds", func(ctx context.Context, n int) error {
+			kv.Sleep(ctx, overloadedCall(n))
+			return ctx.Err()
+		}},
 		{"refuses", func(_ context.Context, n int) error {
 			if n%3 == 0 {
 				return nil
@@ -185,6 +189,38 @@
 	}
 }
 
+// overloadedCall returns how long the nth of a row of calls takes while a store becomes ever
+// slower, up to 1.4 s, and recovers again, as a queue in it grows and shrinks.
+func overloadedCall(n int) time.Duration {
+	const slowest, period = 1400 * time.Millisecond, 16 // calls
+	rise := n % period
+	return slowest * time.Duration(min(rise, period-rise)) / (period / 2)
+}
+
+// TestProbesOfErraticStore checks that a store which loses every third call for a time gets the
+// lists of its watches again at a bounded rate, not with each loss.
+func TestProbesOfErraticStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const duration, perSecond = 20 * time.Second, 1
+		ctx, cancel := context.WithCancel(t.Context())
+		client := kvtest.New(1, kvtest.Faults{}).Client()
+		renewals := &scriptedRenewals{Store: client, renew: func(ctx context.Context, n int) error {
+			if n%3 == 0 {
+				<-ctx.Done()
+			}
+			return ctx.Err()
+		}}
+		probed := kv.NewProbedStore(client, renewals, zap.NewNop())
+		view := &mirror{}
+		go func() { _ = probed.Run(ctx) }()
+		go func() { _ = kv.NewFollower(probed, "op/", 0, view, zap.NewNop()).Run(ctx) }()
+		time.Sleep(duration)
+		require.LessOrEqual(t, view.resetCount(), 1+perSecond*int(duration/time.Second))
+		cancel()
+		time.Sleep(time.Minute)
+	})
+}
+
 // scriptedRenewals is a store whose renewals are scripted by their number.
 type scriptedRenewals struct {
 	kv.Store
