node: TestItemHeaders allows a run that the scheduler moved

By its log lines the scheduler had moved the item (j5-i1) to a faster engine after its fourth event, so that header was its own and right; beside load one engine's stand-in is slow enough for that. The check was too wide, as was that of exactly two runs.

Ruled out: the item's header; only one case sets that one, to 3.

Change: each item must have exactly one run from its start, without that header; a run with it must have one value.

--- a/internal/node/smuggle_test.go
+++ b/internal/node/smuggle_test.go
@@ -125,23 +125,27 @@
 			})
 			require.Equal(t, http.StatusAccepted, c.send(c.entries[0], http.MethodPost, "/jobs/"+id, id, key, body, nil).status)
 			requireCompleteResults(t, id, 2, 5, c.waitForResults(c.entries[0], id))
-			runs := 0
+			begun := map[string]int{}
 			for _, w := range c.engines {
 				for _, r := range w.Requests() {
 					if !strings.HasPrefix(r.Path, "/jobs/"+id+"/") {
 						continue
 					}
-					runs++
+					if values := r.Header.Values(h.LastEventID); len(values) == 0 {
+						begun[r.ID]++
+					} else {
+						// The scheduler moved the item to a faster engine, after its first events.
+						require.Len(t, values, 1)
+					}
 					require.Equal(t, []string{"a"}, r.Header.Values(h.Customer))
 					require.Equal(t, []string{r.ID}, r.Header.Values(h.RequestID))
 					require.Len(t, r.Header.Values(h.Priority), 1)
 					require.NotEqual(t, "0", r.Header.Get(h.Priority))
 					require.Empty(t, r.Header.Values("Authorization"))
-					require.Empty(t, r.Header.Values(h.LastEventID))
 					require.Empty(t, r.Header.Values("X-Cactusspoke-Relayed"))
 				}
 			}
-			require.Equal(t, 2, runs)
+			require.Equal(t, map[string]int{itemID(id, 0): 1, itemID(id, 1): 1}, begun, "runs from the start")
 		})
 	}
 }
