--- a/internal/kv/probed.go
+++ b/internal/kv/probed.go
@@ -48,6 +48,7 @@
 // sent. It tells a store that is silent, whose calls are lost, from one that is slow: there
 // the answers come late, but they come, about in the order of the calls.
 type probeRecord struct {
+	// awaited are the probes that are under way.
 	awaited []time.Time
 	// answers are the latest answered probes, in the order in which they were sent.
 	answers []time.Time
@@ -253,8 +254,8 @@
 	}
 }
 
-// recordOutcome records the outcome of a probe. If it was answered and earlier ones are not
-// yet, it returns how long to wait for these.
+// recordOutcome records the outcome of a probe and reports whether it was answered. If it was
+// and earlier ones are not yet, patience is how long to wait for these; otherwise it is 0.
 func (p *ProbedStore) recordOutcome(sentAt time.Time, err error) (patience time.Duration, answered bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
