--- a/internal/e2e/endtoend_test.go
+++ b/internal/e2e/endtoend_test.go
@@ -123,8 +123,8 @@
 	t.Run("each hop is traced", func(t *testing.T) {
 		booked := 0
 		c.eventually("spans are written", func() bool {
-			// An instance claims a booking by itself while it does not reach the owner of the
-			// claim, as after a start; so book until a claim went to a peer.
+			// While an instance cannot reach the owner of a claim, as after a start, it commits the
+			// claim itself. So book until a claim went to a peer.
 			a := c.book(fmt.Sprintf("entry-%d", booked%3), "caterer", fmt.Sprintf("traced-%d", booked))
 			require.Equal(t, 200, a.status, string(a.body))
 			booked++
--- a/internal/kv/probed.go
+++ b/internal/kv/probed.go
@@ -26,7 +26,7 @@
 	// patienceMemory is how long a slow answer to a probe extends the patience with others and
 	// the time between probes.
 	patienceMemory = 10 * time.Second
-	// probeTimeout is when a probe counts as lost whatever was answered since.
+	// probeTimeout is when a probe counts as lost even if no later one was answered.
 	probeTimeout = 1500 * time.Millisecond
 	// minEndInterval is the time between two times that watches are ended. Each is sent again
 	// with a list before it, so a store that is too busy to answer some probes must not get
@@ -45,8 +45,8 @@
 var errSilence = Class.New("the store was silent since the watch began")
 
 // probeRecord holds the outcomes of probes. Probes are named by the time at which they were
-// sent. It tells a store that is silent, whose calls are lost, from one that is slow: there
-// the answers come late, but they come, about in the order of the calls.
+// sent. It distinguishes a silent store, which loses calls, from a slow one, which answers all
+// of them late, about in the order in which they were sent.
 type probeRecord struct {
 	// awaited are the probes that are under way.
 	awaited []time.Time
--- a/internal/kv/probed_test.go
+++ b/internal/kv/probed_test.go
@@ -87,7 +87,7 @@
 // TestChangesAfterSilence guards against a watch that waits for half a minute for a response
 // that was lost while the store was silent: changes must be seen soon after its return.
 func TestChangesAfterSilence(t *testing.T) {
-	// calmTime is how long the store has to be sound before a process must know its changes.
+	// calmTime is how long the store has to respond normally before its changes must be visible.
 	const calmTime = 3 * time.Second
 	tests := []struct {
 		name    string
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -96,7 +96,7 @@
 // frozenPollInterval is how often a frozen request checks whether it may continue.
 const frozenPollInterval = 20 * time.Millisecond
 
-// stop gives up the requests that a frozen simulator holds, since it ends.
+// stop drops the requests that a frozen simulator holds, because the simulator is ending.
 func (f *Faults) stop() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/node/software_test.go
+++ b/internal/node/software_test.go
@@ -299,7 +299,7 @@
 			c.putConfig(1, routeOverrides{"stream": {"Resumable": true, "MaxAttempts": 3}})
 			c.waitReady()
 			n := 0
-			c.eventually(func() bool { // the instance knows which versions served
+			c.eventually(func() bool { // the instance has loaded which versions served
 				n++
 				c.engines[0].TruncateStreamAfter(2)
 				c.engines[1].TruncateStreamAfter(2)
