--- a/review/testdata/lab2/cases.go
+++ b/review/testdata/lab2/cases.go
@@ -35,12 +35,17 @@
 	return out
 }
 
-// addPlain adds servers of the plain service.
+// addPlain adds servers of the first plain service.
 func (l *lab) addPlain(n, slots, queue int, work time.Duration) []*worker {
+	return l.addPlainOf("wuno96b", n, slots, queue, work)
+}
+
+// addPlainOf adds servers of a plain service.
+func (l *lab) addPlainOf(service string, n, slots, queue int, work time.Duration) []*worker {
 	var out []*worker
 	for i := range n {
 		w := &worker{
-			id: fmt.Sprintf("i-plain%d", i+1), service: "wuno96b", zone: zones[i%len(zones)], slots: slots, queue: queue,
+			id: fmt.Sprintf("i-%s-%d", service, i+1), service: service, zone: zones[i%len(zones)], slots: slots, queue: queue,
 			work: func(*http.Request, []byte) time.Duration { return work },
 		}
 		l.addWorker(w)
@@ -200,16 +205,27 @@
 func secondAnswer(l *lab) {
 	const (
 		instances   = 8
-		clients     = 10 // of each instance
+		clients     = 5 // of each instance and service
 		share       = 0.03
 		troubleTime = 5 * time.Second
-		pause       = time.Second
-		windows     = 12
+		pause       = 500 * time.Millisecond
+		windows     = 15
 	)
 	l.configure()
 	l.serveCloud()
 	l.addEngines(1, 8, 20*time.Millisecond, 5)
-	plain := l.addPlain(2, 6, 6, 40*time.Millisecond)
+	services := []string{"wuno96b", "wuno97c", "wuno98d"}
+	var faulty []*worker // one of two servers of each service
+	for _, service := range services {
+		faulty = append(faulty, l.addPlainOf(service, 2, 6, 6, 40*time.Millisecond)[0])
+	}
+	setShare := func(share float64) {
+		for _, w := range faulty {
+			w.mu.Lock()
+			w.extraShare = share
+			w.mu.Unlock()
+		}
+	}
 	var fronts []*machine
 	for n := range instances {
 		fronts = append(fronts, l.addMachine("front", zones[n%len(zones)], frontMB))
@@ -220,7 +236,8 @@
 	var group sync.WaitGroup
 	var mu sync.Mutex
 	answers := map[int]int{}
-	for n := range clients * instances {
+	for n := range clients * instances * len(services) {
+		path := fmt.Sprintf("/lohu93%d/2f", n/instances%len(services))
 		group.Go(func() {
 			for {
 				select {
@@ -230,7 +247,7 @@
 				}
 				id := newID()
 				l.record("sent", "id", id)
-				r := l.call(fronts[n%instances], http.MethodPost, "/lohu930/2f", id, 1500*time.Millisecond, []byte("book"))
+				r := l.call(fronts[n%instances], http.MethodPost, path, id, 1500*time.Millisecond, []byte("book"))
 				l.record("answered", "id", id, "status", r.status)
 				mu.Lock()
 				answers[r.status]++
@@ -243,15 +260,11 @@
 	}
 	for range windows {
 		if l.trouble {
-			plain[0].mu.Lock()
-			plain[0].extraShare = share
-			plain[0].mu.Unlock()
-			l.record("trouble-begins", "server", plain[0].id)
+			setShare(share)
+			l.record("trouble-begins")
 		}
 		time.Sleep(troubleTime)
-		plain[0].mu.Lock()
-		plain[0].extraShare = 0
-		plain[0].mu.Unlock()
+		setShare(0)
 		l.record("trouble-ends")
 		time.Sleep(pause)
 	}
--- a/review/testdata/lab2/lab.go
+++ b/review/testdata/lab2/lab.go
@@ -447,19 +447,23 @@
 	}
 }
 
-// configure writes the operator's first configuration: a batch route to the engines, a plain
-// route that may run only once, and one for reward calls.
+// configure writes the operator's first configuration: a batch route to the engines, plain
+// routes whose requests may run only once, and one for reward calls.
 func (l *lab) configure() {
 	l.store.put("op/config", map[string]any{
 		"Version": 7,
 		"Routes": []map[string]any{
 			{"Name": "r-batch", "Host": host, "Prefix": "/pule252/", "Kind": "rollout", "TimeoutMs": 10000, "GoalMs": 400, "Priority": 0, "Service": "huvo11a", "MaxAttempts": 3, "DueMs": 7500, "RetainS": 120},
 			{"Name": "r-score", "Host": host, "Prefix": "/pufi791/", "Kind": "safe", "TimeoutMs": 1500, "GoalMs": 150, "Priority": 2, "Service": "wuno96b", "MaxAttempts": 4, "Public": true},
-			{"Name": "r-book", "Host": host, "Prefix": "/lohu930/", "Kind": "unsafe", "TimeoutMs": 1500, "GoalMs": 150, "Priority": 2, "Service": "wuno96b", "MaxAttempts": 3},
+			{"Name": "r-book", "Host": host, "Prefix": "/lohu930/", "Kind": "unsafe", "TimeoutMs": 1500, "GoalMs": 150, "Priority": 2, "Service": "wuno96b", "MaxAttempts": 4},
+			{"Name": "r-book2", "Host": host, "Prefix": "/lohu931/", "Kind": "unsafe", "TimeoutMs": 1500, "GoalMs": 150, "Priority": 2, "Service": "wuno97c", "MaxAttempts": 4},
+			{"Name": "r-book3", "Host": host, "Prefix": "/lohu932/", "Kind": "unsafe", "TimeoutMs": 1500, "GoalMs": 150, "Priority": 2, "Service": "wuno98d", "MaxAttempts": 4},
 		},
 		"Services": []map[string]any{
 			{"Name": "huvo11a", "HealthPath": "/health", "MaxConns": 140, "Engine": map[string]any{"Slots": 8, "KvCapacity": 110995, "Models": []map[string]any{{"Name": "daka510000"}}}},
 			{"Name": "wuno96b", "HealthPath": "/health", "MaxConns": 100},
+			{"Name": "wuno97c", "HealthPath": "/health", "MaxConns": 100},
+			{"Name": "wuno98d", "HealthPath": "/health", "MaxConns": 100},
 		},
 		"Limits":  map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 33554432, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
 		"Tenants": []map[string]any{{"Name": "huka270", "ApiKeys": []string{apiKey}}},
--- a/review/testdata/lab2/worker.go
+++ b/review/testdata/lab2/worker.go
@@ -18,8 +18,8 @@
 
 // A second answer of a faulty server comes this long after the first.
 const (
-	minExtraDelay = 10 * time.Millisecond
-	maxExtraDelay = 60 * time.Millisecond
+	minExtraDelay = 20 * time.Millisecond
+	maxExtraDelay = 50 * time.Millisecond
 )
 
 // fault changes how a server answers one request. It returns false if the server shall answer
