ingress: do not refuse a job that a peer may have accepted

The store refused the calls of the entry instance; the peer to which it relayed the job stored it and was killed before it responded.

Cause: relayToPeer returned only whether there was a response to copy, so a lost connection, a 504 and a refusal were the same to submitJob, which then refused the job because its own write was refused. The new log line (reason, may-have-run) shows that; it rules out a late write of the instance itself. The response to DELETE had the same fault, also without a peer: MarkEnded returned the error of its last attempt although an earlier one may be carried out.

The request now holds whether anyone may have carried it out. It is set by every outcome of a relayed call but "not sent" and 503, and by writes without a response; such a call is answered 504, and a later refusal by a peer is not copied.

--- a/internal/batch/jobstore.go
+++ b/internal/batch/jobstore.go
@@ -193,7 +193,8 @@
 	return cachedRecord{record, item.Revision}, nil
 }
 
-// MarkEnded marks a customer's job as ended. It is idempotent.
+// MarkEnded marks a customer's job as ended. It is idempotent. ErrOutcomeUnknown means that
+// a write may still mark it; any other error, that none does.
 func (s *JobStore) MarkEnded(ctx context.Context, id, customer string) error {
 	if _, err := s.Find(ctx, id, customer); err != nil {
 		return err
@@ -203,6 +204,7 @@
 		Puts:       []kv.Put{{Key: endKey(id), Value: []byte("ended")}},
 	}
 	var err error
+	outcomeUnknown := false
 	for attempt := range maxCommitAttempts {
 		if attempt > 0 {
 			kv.Sleep(ctx, commitRetryDelay<<attempt)
@@ -211,10 +213,14 @@
 		if err == nil || errors.Is(err, kv.ErrConflict) {
 			return nil
 		}
+		outcomeUnknown = outcomeUnknown || !errors.Is(err, kv.ErrRefused) && !errors.Is(err, kv.ErrForbidden)
 		if ctx.Err() != nil {
 			break
 		}
 	}
+	if outcomeUnknown {
+		return Class.New("%w: cannot mark the job as ended: %v", ErrOutcomeUnknown, err)
+	}
 	return err
 }
 
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -109,6 +109,7 @@
 		return
 	}
 	err = s.Jobs.SubmitItems(ctx, job, items)
+	r.mayHaveRun = r.mayHaveRun || errors.Is(err, batch.ErrOutcomeUnknown)
 	if err != nil && !errors.Is(err, kv.ErrForbidden) && s.relay(ctx, c, r) {
 		return
 	}
@@ -117,7 +118,7 @@
 		c.SetStatusCode(http.StatusAccepted)
 		s.Log.Info("job: accepted", zap.String("id", r.id), zap.String("customer", r.customer), zap.Int64("step", job.Step),
 			zap.Int("items", items.Len()), zap.Int64("min-version", job.MinVersion), zap.Duration("took", time.Since(r.receivedAt)))
-	case errors.Is(err, kv.ErrRefused):
+	case errors.Is(err, kv.ErrRefused) && !r.mayHaveRun:
 		s.respondError(c, r, http.StatusServiceUnavailable, retryAfterBusy, err.Error())
 	case errors.Is(err, kv.ErrForbidden):
 		s.respondError(c, r, http.StatusRequestEntityTooLarge, 0, err.Error())
@@ -135,6 +136,8 @@
 	case !errors.Is(err, batch.ErrJobNotFound) && !errors.Is(err, batch.ErrWrongCustomer) && s.relay(ctx, c, r):
 	case errors.Is(err, batch.ErrJobNotFound), errors.Is(err, batch.ErrWrongCustomer):
 		s.respondError(c, r, http.StatusNotFound, 0, err.Error())
+	case r.mayHaveRun:
+		s.respondError(c, r, http.StatusGatewayTimeout, 0, err.Error())
 	default:
 		s.respondError(c, r, http.StatusServiceUnavailable, retryAfterBusy, err.Error())
 	}
@@ -241,7 +244,9 @@
 
 // serveJobEnd ends a job at its caller's request.
 func (s *Server) serveJobEnd(ctx context.Context, c *app.RequestContext, r *callerRequest, id string) {
-	if s.respondJobError(ctx, c, r, s.Jobs.MarkEnded(ctx, id, r.customer)) {
+	err := s.Jobs.MarkEnded(ctx, id, r.customer)
+	r.mayHaveRun = r.mayHaveRun || errors.Is(err, batch.ErrOutcomeUnknown)
+	if s.respondJobError(ctx, c, r, err) {
 		return
 	}
 	c.SetStatusCode(http.StatusOK)
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -36,7 +37,8 @@
 )
 
 // relay forwards a request about a job to other entry instances, since these may
-// reach the store when this one cannot. It reports whether a peer responded.
+// reach the store when this one cannot. It reports whether a peer responded. If not, a peer
+// may still have carried out the request: see callerRequest.mayHaveRun.
 func (s *Server) relay(ctx context.Context, c *app.RequestContext, r *callerRequest) bool {
 	if r.relayed {
 		return false
@@ -71,29 +73,56 @@
 }
 
 // relayToPeer forwards a request to one peer and copies its response. Server
-// errors are not copied, since another peer may succeed.
+// errors are not copied, since another peer may succeed, nor are refusals if an earlier
+// attempt may have carried out the request.
 func (s *Server) relayToPeer(ctx context.Context, c *app.RequestContext, r *callerRequest, address string, request *http1.Request) bool {
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout+s.resultWait(c))
 	defer cancel()
+	notRun := func(reason string) bool {
+		s.Log.Info("job: relaying the request to a peer failed", zap.String("id", r.id), zap.String("peer", address),
+			zap.String("reason", reason), zap.Bool("may-have-run", r.mayHaveRun))
+		return false
+	}
+	failed := func(reason string) bool {
+		r.mayHaveRun = r.mayHaveRun || r.method != http.MethodGet
+		return notRun(reason)
+	}
 	response, err := s.Backends.Do(ctx, address, request)
+	if http1.NotSent(err) {
+		return notRun(err.Error())
+	}
 	if err != nil {
-		s.Log.Info("job: relaying the request to a peer failed", zap.String("id", r.id), zap.String("peer", address), zap.String("reason", err.Error()))
-		return false
+		return failed(err.Error())
 	}
 	defer response.Close()
 	if id := response.Header(s.Headers.RequestID); id != "" && id != r.id { // earlier versions send none
 		response.Abort()
-		s.Log.Warn("job: a peer responded to another request", zap.String("id", r.id), zap.String("peer", address), zap.String("responded-to", id))
-		return false
+		return failed("response to another request: " + id)
 	}
 	body, err := response.ReadAll(maxBufferedBytes)
-	if err != nil || response.Status() >= http.StatusInternalServerError {
-		return false
+	if err != nil {
+		return failed(err.Error())
+	}
+	status := response.Status()
+	switch {
+	case status == http.StatusServiceUnavailable, isRefusal(status) && r.mayHaveRun:
+		return notRun("refused with status " + strconv.Itoa(status))
+	case status >= http.StatusInternalServerError:
+		return failed("failed with status " + strconv.Itoa(status))
 	}
 	s.copyHeaders(c, response.Headers())
-	c.SetStatusCode(response.Status())
+	c.SetStatusCode(status)
 	c.Response.SetBodyRaw(body)
 	s.Log.Info("job: request relayed to a peer because the store is unreachable", zap.String("id", r.id), zap.String("path", r.path),
-		zap.String("peer", address), zap.Int("status", response.Status()), zap.Duration("took", time.Since(r.receivedAt)))
+		zap.String("peer", address), zap.Int("status", status), zap.Duration("took", time.Since(r.receivedAt)))
 	return true
 }
+
+// isRefusal reports whether a status promises that the request has not run and never will.
+func isRefusal(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -171,6 +171,9 @@
 	relayed bool
 	// maxAttempts limits the attempts that may run the request.
 	maxAttempts int
+	// mayHaveRun is set once a server may have started to run the request, or a peer or the
+	// store may have carried out the call. Such a request is not refused.
+	mayHaveRun bool
 	// probed is set once the request waited for probes.
 	probed bool
 	// resumesAt is the origin of the stream that the request resumes; nil if it resumes
