ingress: pass on only refusals that a server states

A response 503, 429 or 408 promises that the request has not run. Two were not known to be true: an unsealed one of a server that does not state it (X-Not-Executed), which was passed on like any error, and one of this instance itself (no room, stream cannot go on) after a peer had lost the response to an earlier attempt.

The first now counts as a failed attempt, the second becomes 502: whether a request may have run moved from the state of its attempts to the request, where respondError sees it.

TestRefusalAfterAttempt is on the new interface.

--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -64,8 +64,6 @@
 type forwardState struct {
 	// triedServers holds the ids of the servers tried since the last backoff.
 	triedServers map[string]bool
-	// mayHaveRun is set once a server may have started to run the request.
-	mayHaveRun bool
 	// failures counts the failed attempts that may have run the request.
 	failures int
 	// rejections counts the attempts that did not run the request and the backoffs.
@@ -159,7 +157,7 @@
 		}
 		handle, ok := s.acquire(ctx, r, state, service)
 		if !ok {
-			if state.rejections == 0 || state.mayHaveRun || state.limitWait > 0 {
+			if state.rejections == 0 || r.mayHaveRun || state.limitWait > 0 {
 				break
 			}
 			clear(state.triedServers)
@@ -181,7 +179,7 @@
 		case attemptNotRun:
 			state.rejections++
 		case attemptFailed:
-			state.mayHaveRun = true
+			r.mayHaveRun = true
 			state.failures++
 			if state.connectionLost {
 				state.lostServers = append(state.lostServers, handle.Server())
@@ -197,7 +195,7 @@
 
 // mayTryAgain reports whether another attempt is allowed.
 func (s *Server) mayTryAgain(r *callerRequest, state *forwardState) bool {
-	if state.mayHaveRun && !r.route.Idempotent() {
+	if r.mayHaveRun && !r.route.Idempotent() {
 		return false
 	}
 	return state.failures < r.maxAttempts && state.rejections < r.route.MaxAttempts+maxExtraRejections
@@ -247,16 +245,16 @@
 func (s *Server) respondFailure(_ context.Context, c *app.RequestContext, r *callerRequest, state *forwardState, service string, fingerprint poison.Fingerprint) {
 	s.reportCrashes(state, service, fingerprint)
 	switch {
-	case state.noPath && !state.mayHaveRun:
+	case state.noPath && !r.mayHaveRun:
 		if r.relayed {
 			c.Response.Header.Set(noPathHeader, "1")
 		}
 		s.respondError(c, r, http.StatusServiceUnavailable, retryAfterNoPath, "no path to the servers")
-	case !state.mayHaveRun && s.Pool.EvacuatedService(service):
+	case !r.mayHaveRun && s.Pool.EvacuatedService(service):
 		s.respondError(c, r, http.StatusServiceUnavailable, retryAfterUnavailable, "all servers are in evacuated domains")
 	case state.errorResponse != nil:
 		s.writeResponse(c, r, state.errorResponse)
-	case !state.mayHaveRun:
+	case !r.mayHaveRun:
 		reason := state.reason
 		if reason == "" {
 			reason = "no backend server available"
@@ -446,6 +444,13 @@
 		state.reason = "response without a seal"
 		return attemptFailed
 	}
+	if isRefusal(status) && response.Header(s.Headers.Signature) == "" {
+		// The server does not state that the request has not run, so the caller must not be
+		// told so either.
+		release(pool.Failed)
+		state.reason = "status " + strconv.Itoa(status) + " that leaves open whether the request ran"
+		return attemptFailed
+	}
 	release(pool.Served)
 	buffered := &bufferedResponse{sender, status, response.Headers(), body}
 	if status >= http.StatusInternalServerError && r.route.Idempotent() && state.failures+attempts < r.maxAttempts {
--- a/internal/ingress/job_test.go
+++ b/internal/ingress/job_test.go
@@ -151,3 +151,27 @@
 		}
 	}
 }
+
+// TestRefusalAfterAttempt guards against a refusal, which promises that a request has not run,
+// of one that may have run at a peer before.
+func TestRefusalAfterAttempt(t *testing.T) {
+	tests := []struct {
+		name       string
+		mayHaveRun bool
+		status     int
+		want       int
+	}{
+		{"no attempt", false, http.StatusServiceUnavailable, http.StatusServiceUnavailable},
+		{"no room", true, http.StatusServiceUnavailable, http.StatusBadGateway},
+		{"limits", true, http.StatusTooManyRequests, http.StatusBadGateway},
+		{"out of time", true, http.StatusGatewayTimeout, http.StatusGatewayTimeout},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := &app.RequestContext{}
+			newGateServer(zap.NewNop()).respondError(c, &callerRequest{mayHaveRun: tt.mayHaveRun}, tt.status, time.Second, "")
+			require.Equal(t, tt.want, c.Response.StatusCode())
+			require.Equal(t, isRefusal(tt.want), len(c.Response.Header.Peek("Retry-After")) > 0)
+		})
+	}
+}
--- a/internal/ingress/peer.go
+++ b/internal/ingress/peer.go
@@ -104,7 +104,7 @@
 			break
 		}
 	}
-	if state.mayHaveRun {
+	if r.mayHaveRun {
 		return attemptFailed
 	}
 	return attemptNotRun
@@ -125,7 +125,7 @@
 	defer cancel()
 	failed := func(reason string) attemptResult {
 		state.reason = reason
-		state.mayHaveRun = true
+		r.mayHaveRun = true
 		state.failures += attempts
 		return attemptFailed
 	}
--- a/internal/ingress/resume.go
+++ b/internal/ingress/resume.go
@@ -49,7 +49,7 @@
 		if s.forwardToPeers(ctx, c, r, state, service) == attemptDone {
 			return false
 		}
-		if state.mayHaveRun {
+		if r.mayHaveRun {
 			s.respondError(c, r, http.StatusBadGateway, 0, state.reason)
 			return false
 		}
