http1: reject statuses that HTTP does not have

Here each status under 200 was passed over like an informational response, so that callers waited for the route's time-out (504). Statuses over 599 were passed on to the caller, and a reward call answered 999 kept its job open, as that server counted as sound.

Cause: http.ReadResponse accepts any number and version, and roundTrip compared the status with 200 only. Now statuses outside 100 to 599, 101 and versions other than HTTP/1 are an ErrInvalidResponse, which proves nothing about the request and closes the connection. All answers that the product reads come through this client.

TestInvalidStatusLine covers each status line. TestEndlessHead now asks for the same error.

--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -97,6 +97,11 @@
 // server sent it a second time. It says nothing about whether this request ran.
 var ErrOtherRequest = Class.New("response to another request")
 
+// ErrInvalidResponse means that the server's response is not one of HTTP/1: its status is none
+// that a request can get, its version is another or its headers are too long. It says nothing
+// about whether the request ran.
+var ErrInvalidResponse = Class.New("invalid response")
+
 // ErrNoConnection means that a request with ReuseOnly found no idle connection.
 var ErrNoConnection = Class.New("no idle connection")
 
@@ -227,7 +232,7 @@
 }
 
 // errHeadTooLong means that a server sent more than maxHeadBytes of headers.
-var errHeadTooLong = Class.New("response headers are longer than %d bytes", maxHeadBytes)
+var errHeadTooLong = Class.New("%w: headers are longer than %d bytes", ErrInvalidResponse, maxHeadBytes)
 
 // headLimiter limits the bytes read from a connection while the headers of a
 // response are read.
@@ -260,8 +265,8 @@
 // The caller must close the response. The context bounds the whole exchange,
 // including the response body. A response that does not repeat the header named by
 // Request.Echo is an ErrOtherRequest; observers do not see it, and the connection, on which
-// the right one may follow, is closed. A request that cannot be sent as it is is an
-// ErrInvalidRequest.
+// the right one may follow, is closed. So is that of an ErrInvalidResponse, which observers do
+// not see either. A request that cannot be sent as it is is an ErrInvalidRequest.
 func (c *Client) Do(ctx context.Context, address string, r *Request) (*Response, error) {
 	if err := r.Validate(); err != nil {
 		return nil, &Error{cause: err}
@@ -449,12 +454,28 @@
 		if err != nil {
 			return nil, Class.Wrap(err)
 		}
+		if err := validateStatus(response); err != nil {
+			return nil, err
+		}
 		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
 	}
 }
 
+// maxStatus is the highest status code of HTTP.
+const maxStatus = 599
+
+// validateStatus returns an ErrInvalidResponse if HTTP/1 has no such status line in response to
+// requests of this package, which never ask to switch protocols. The parser of net/http accepts
+// any number and version.
+func validateStatus(r *http.Response) error {
+	if r.ProtoMajor != 1 || r.StatusCode < http.StatusContinue || r.StatusCode > maxStatus || r.StatusCode == http.StatusSwitchingProtocols {
+		return Class.New("%w: status line %q", ErrInvalidResponse, r.Proto+" "+r.Status)
+	}
+	return nil
+}
+
 // encodeRequest serializes a request.
 func encodeRequest(r *Request) []byte {
 	b := make([]byte, 0, headerCapacity+len(r.Body))
--- a/internal/http1/client_test.go
+++ b/internal/http1/client_test.go
@@ -215,7 +215,7 @@
 			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 			defer cancel()
 			_, err := get(ctx, http1.NewClient(), s.address)
-			require.Error(t, err)
+			require.ErrorIs(t, err, http1.ErrInvalidResponse)
 			require.NoError(t, ctx.Err(), "the request ended only at its deadline")
 			require.False(t, http1.NotSent(err))
 			<-closed
@@ -242,6 +242,48 @@
 	<-closed
 }
 
+// TestInvalidStatusLine guards against a response of a server in trouble whose status is none, and
+// that is passed over like an informational one or passed on.
+func TestInvalidStatusLine(t *testing.T) {
+	tests := []struct {
+		line  string
+		valid bool
+	}{
+		{"HTTP/1.1 000 x", false},
+		{"HTTP/1.1 -00 x", false},
+		{"HTTP/1.1 +20 x", false},
+		{"HTTP/1.1 001 x", false},
+		{"HTTP/1.1 099 x", false},
+		{"HTTP/1.1 101 x", false},
+		{"HTTP/1.1 600 x", false},
+		{"HTTP/1.1 999 x", false},
+		{"HTTP/2.0 200 x", false},
+		{"HTTP/1.1 200", true},
+		{"HTTP/1.0 200 x", true},
+		{"HTTP/1.1 599 x", true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.line, func(t *testing.T) {
+			s := newScriptedServer(t, func(_ int64, c net.Conn, _ *http.Request) {
+				_, _ = io.WriteString(c, tt.line+"\r\nContent-Length: 0\r\n\r\n")
+			})
+			client := http1.NewClient()
+			client.Observe(http1.Observer{Answered: func(string, int, http.Header) { require.True(t, tt.valid, "an observer saw it") }})
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			_, err := get(ctx, client, s.address)
+			require.NoError(t, ctx.Err(), "the client waited for another response")
+			if tt.valid {
+				require.NoError(t, err)
+				return
+			}
+			require.ErrorIs(t, err, http1.ErrInvalidResponse)
+			require.False(t, http1.NotSent(err))
+			require.Zero(t, client.Connections())
+		})
+	}
+}
+
 // TestHeadBrokenOff guards against responses that end within their head and would be taken
 // for whole ones with an empty or short body.
 func TestHeadBrokenOff(t *testing.T) {
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -300,8 +300,8 @@
 	}
 	if err != nil {
 		state.reason = err.Error()
-		otherRequest := errors.Is(err, http1.ErrOtherRequest)
-		if !otherRequest && !errors.Is(ctx.Err(), context.Canceled) {
+		answered := errors.Is(err, http1.ErrOtherRequest) || errors.Is(err, http1.ErrInvalidResponse)
+		if !answered && !errors.Is(ctx.Err(), context.Canceled) {
 			s.Reach.Suspect(server.Service, server.Address)
 			s.lossToGate(server)
 		}
@@ -309,7 +309,7 @@
 			handle.Release(pool.Failed)
 			return attemptNotRun
 		}
-		state.connectionLost = ctx.Err() == nil && !otherRequest
+		state.connectionLost = ctx.Err() == nil && !answered
 		releaseBroken(ctx, handle.Release)
 		s.meterOnce(r, state, sentAt)
 		return attemptFailed
