web: fail replies that are cut at the limit

Each body had its own limit, so several together took any amount of memory.

A body over the limit is an error now, and all bodies of a client share a budget (internal/memory): if one does not fit, the largest is ended and the others wait for its memory.

TestEndlessReplies fails on ("An error is expected but got nil", all six bodies) and passes.

--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -500,7 +500,7 @@
 	return append(b, r.Body...)
 }
 
-// Response is a server's response. Its body is read with Read or ReadAll.
+// Response is a server's response. Its body is read with Read, ReadAll or Drain.
 type Response struct {
 	httpResponse    *http.Response
 	conn            *conn
@@ -555,6 +555,19 @@
 	return body, nil
 }
 
+// Drain reads the body to its end without keeping it. It returns an error if the body is longer
+// than limit bytes.
+func (r *Response) Drain(limit int64) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(r, limit+1))
+	if err != nil {
+		return err
+	}
+	if n > limit {
+		return &Error{sent: true, cause: Class.New("response body is longer than %d bytes", limit)}
+	}
+	return nil
+}
+
 // Close ends the exchange. The connection returns to the pool if the body was
 // read to its end and no further bytes follow; otherwise it is closed.
 func (r *Response) Close() {
@@ -571,6 +584,10 @@
 	r.client.putIdle(r.conn, idle)
 }
 
+// Interrupt closes the connection, so that reads of the body fail. It may be called at the same
+// time as other methods.
+func (r *Response) Interrupt() { _ = r.conn.Close() }
+
 // Abort closes the connection, so that the server stops processing the request.
 func (r *Response) Abort() {
 	r.bodyComplete = false
--- a/internal/web/client.go
+++ b/internal/web/client.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"cactusspoke/internal/http1"
+	"cactusspoke/internal/memory"
 
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/zeebo/errs"
@@ -31,7 +32,9 @@
 
 // Limits of the client.
 const (
-	maxReplyBytes      = 64 << 20
+	maxReplyBytes = 64 << 20
+	// maxHeldBytes limits the bodies that a client holds at one time.
+	maxHeldBytes       = 2 * maxReplyBytes
 	defaultReadTimeout = 60 * time.Second
 	// maxDrainBytes limits what is read of a response that is closed before its end, such
 	// as the end of a stream after its last event.
@@ -46,6 +49,7 @@
 	buffered    *http1.Client
 	streamed    *http1.Client
 	readTimeout time.Duration
+	bodies      *memory.Budget
 }
 
 // NewClient returns a client. readTimeout limits each read. Zero selects the default.
@@ -53,7 +57,7 @@
 	if readTimeout == 0 {
 		readTimeout = defaultReadTimeout
 	}
-	return &Client{buffered: http1.NewClient(), streamed: http1.NewClient(), readTimeout: readTimeout}, nil
+	return &Client{buffered: http1.NewClient(), streamed: http1.NewClient(), readTimeout: readTimeout, bodies: memory.NewBudget(maxHeldBytes)}, nil
 }
 
 // Request is an HTTP request.
@@ -161,7 +165,9 @@
 		}
 		return nil, readError(ctx, err)
 	}
-	return &Stream{response: response, ctx: ctx, cancel: cancel, idle: idle, timeout: c.readTimeout}, nil
+	return &Stream{
+		response: response, ctx: ctx, cancel: cancel, idle: idle, timeout: c.readTimeout, account: c.bodies.Open(response.Interrupt),
+	}, nil
 }
 
 // errReadTimeout means that nothing arrived within the read timeout.
@@ -182,6 +188,8 @@
 	cancel   context.CancelCauseFunc
 	idle     *time.Timer
 	timeout  time.Duration
+	// account holds the body that ReadAll returned until the stream is closed.
+	account *memory.Account
 }
 
 func (s *Stream) Status() int { return s.response.Status() }
@@ -218,9 +226,10 @@
 	return response
 }
 
-// ReadAll reads the rest of the body, up to maxReplyBytes.
+// ReadAll reads the rest of the body. A body of more than maxReplyBytes is an error, as is one
+// that exceeds maxHeldBytes together with smaller ones.
 func (s *Stream) ReadAll() ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(s, maxReplyBytes))
+	body, err := memory.ReadAll(s.ctx, s, s.account, maxReplyBytes)
 	if err != nil {
 		return nil, Class.Wrap(err)
 	}
@@ -232,6 +241,7 @@
 func (s *Stream) Close() {
 	s.timeout = drainTimeout
 	_, _ = io.CopyN(io.Discard, s, maxDrainBytes) // after an error the connection is closed
+	s.account.Close()                             // before another request gets the connection
 	s.response.Close()
 	s.end()
 }
@@ -239,6 +249,7 @@
 // Abort closes the connection, so that no later request can read the rest of this
 // response.
 func (s *Stream) Abort() {
+	s.account.Close()
 	s.response.Abort()
 	s.end()
 }
--- a/internal/web/web_test.go
+++ b/internal/web/web_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -95,6 +98,41 @@
 	}},
 }
 
+// replyBytes is the longest body that a client reads, and socketBytes more than a connection on
+// loopback buffers.
+const (
+	replyBytes  = 64 << 20
+	socketBytes = 16 << 20
+)
+
+// TestEndlessReplies guards against a body without end that is cut at the limit and returned as a
+// whole one, and against several of them that take more memory than one client may.
+func TestEndlessReplies(t *testing.T) {
+	chunk := bytes.Repeat([]byte("x"), 1<<20)
+	var sent atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		for r.Context().Err() == nil {
+			n, err := rw.Write(chunk)
+			sent.Add(int64(n))
+			if err != nil {
+				return
+			}
+		}
+	}))
+	defer server.Close()
+	client, err := web.NewClient(0)
+	require.NoError(t, err)
+	var group sync.WaitGroup
+	for range 6 {
+		group.Go(func() {
+			_, err := client.Do(t.Context(), web.NewRequest("GET", server.URL+"/"))
+			require.Error(t, err)
+		})
+	}
+	group.Wait()
+	require.Less(t, sent.Load(), int64(6*(replyBytes+socketBytes)))
+}
+
 // TestStaleConnectionIsReplaced checks that a request is sent once, on another
 // connection, if the peer closed the idle connection or wrote to it.
 func TestStaleConnectionIsReplaced(t *testing.T) {
