scheduler: limit the outputs in memory together

A line, an event and their number were limited for each run, but not an output and not all of them: up to 1 MiB for each of an item's tokens.

Outputs that are not committed now take a tenth of the machine's memory; the largest run is ended when they do not fit. An output that no value of the store holds ends its run, since its write was repeated for ever.

--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"cactusspoke/internal/http1"
 	"cactusspoke/internal/kv"
@@ -96,6 +97,9 @@
 	// maxPartBytes limits the size of a value, because a page of a range read
 	// holds one megabyte.
 	maxPartBytes = 600 << 10
+	// chunkOverheadBytes are reserved in a value for what a chunk of one result has besides its
+	// text: the ids, the score, the versions and the customer.
+	chunkOverheadBytes = 16 << 10
 )
 
 func jobKey(id string) string { return JobPrefix + id + jobSuffix }
@@ -348,6 +352,27 @@
 	Results  []wireResult `json:"results"`
 }
 
+// EncodedTextLen returns the length in bytes of the text as EncodeChunk writes it.
+func (r *Result) EncodedTextLen() int {
+	n := len(r.Text)
+	for i, c := range r.Text {
+		switch {
+		case c == '"', c == '\\', c == '\n', c == '\r', c == '\t', c == '\b', c == '\f':
+			n++
+		case c < ' ', c == '<', c == '>', c == '&':
+			n += escapeLen - 1
+		case c == '\u2028', c == '\u2029':
+			n += escapeLen - utf8.RuneLen(c)
+		case c == utf8.RuneError && !strings.HasPrefix(r.Text[i:], string(utf8.RuneError)):
+			n += escapeLen - 1
+		}
+	}
+	return n
+}
+
+// escapeLen is the length of an escape sequence of JSON that names a code point.
+const escapeLen = len(`\u0000`)
+
 // EncodeChunk encodes results of a job with the customer and the number of items of its record.
 func EncodeChunk(r Record, results []Result) []byte {
 	w := wireChunk{Customer: r.Customer, Total: r.Total}
--- a/internal/batch/jobstore.go
+++ b/internal/batch/jobstore.go
@@ -46,8 +46,9 @@
 // use.
 type JobStore struct {
 	store kv.Store
-	// maxBytes limits the estimated size of a value.
-	maxBytes int
+	// maxBytes limits the estimated size of a value, which may have up to valueBytes.
+	maxBytes   int
+	valueBytes int
 
 	mu      sync.Mutex
 	records map[string]cachedRecord
@@ -58,7 +59,7 @@
 // valueBytes bytes.
 func NewJobStore(store kv.Store, valueBytes int) *JobStore {
 	maxBytes := min(maxPartBytes, int(valueFillRatio*float64(valueBytes)))
-	return &JobStore{store: store, maxBytes: maxBytes, records: map[string]cachedRecord{}}
+	return &JobStore{store: store, maxBytes: maxBytes, valueBytes: valueBytes, records: map[string]cachedRecord{}}
 }
 
 // NewItems returns an empty list for the items of a job that is submitted.
@@ -428,6 +429,9 @@
 // MaxWriteBytes returns the maximum number of bytes of results or texts in one write.
 func (s *JobStore) MaxWriteBytes() int { return s.maxBytes }
 
+// MaxResultBytes returns the maximum length in bytes of the encoded text of a result.
+func (s *JobStore) MaxResultBytes() int { return max(s.maxBytes, s.valueBytes-chunkOverheadBytes) }
+
 // Fence is the condition for writes of the duty's holder: it fails once another
 // node has taken the duty.
 type Fence = kv.Condition
--- a/internal/hostile/process_test.go
+++ b/internal/hostile/process_test.go
@@ -42,6 +42,8 @@
 	host = "calls.example"
 	key  = "key-of-a"
 	zone = "zone-1"
+	// model is the model of the engines.
+	model = "m"
 	// waitTimeout limits every wait. It is not a performance bound.
 	waitTimeout  = 20 * time.Second
 	pollInterval = 20 * time.Millisecond
@@ -74,6 +76,8 @@
 	machine machine
 	// store and cloud are the addresses of the stand-ins.
 	store, cloud string
+	// standIn is the stand-in of the store.
+	standIn *standin.Store
 	// callers, ready, lookup, replicas and metrics are the addresses that it serves.
 	callers, ready, lookup, replicas, metrics string
 
@@ -111,7 +115,7 @@
 		store.Close()
 		cloud.Close()
 	})
-	e := &entry{t: t, machine: m, store: storeAddress, cloud: cloud.Address}
+	e := &entry{t: t, machine: m, store: storeAddress, cloud: cloud.Address, standIn: store}
 	putConfig(store, m)
 	startServer(t, store)
 	e.start("entry")
@@ -124,7 +128,7 @@
 // startScheduler starts a `cactusspoke scheduler` process on another machine beside an entry
 // process. Only its memory is sampled and whether it lives.
 func startScheduler(e *entry, m machine) *entry {
-	s := &entry{t: e.t, machine: m, store: e.store, cloud: e.cloud}
+	s := &entry{t: e.t, machine: m, store: e.store, cloud: e.cloud, standIn: e.standIn}
 	s.start("scheduler")
 	s.sampled.Add(1)
 	go s.sample()
@@ -178,8 +182,14 @@
 		"Routes": []map[string]any{
 			{"Name": "safe", "Host": host, "Prefix": "/safe/", "Kind": "safe", "TimeoutMs": 9000, "GoalMs": 500, "MaxAttempts": 2, "Service": "plain"},
 			{"Name": "jobs", "Host": host, "Prefix": "/jobs/", "Kind": "rollout", "TimeoutMs": m.jobTimeoutMS, "GoalMs": 500, "MaxAttempts": 2, "Service": "plain", "DueMs": 9000, "RetainS": 600},
+			{"Name": "faulty", "Host": host, "Prefix": "/faulty/", "Kind": "safe", "TimeoutMs": 9000, "GoalMs": 500, "MaxAttempts": 2, "Service": "faulty"},
+			{"Name": "steps", "Host": host, "Prefix": "/steps/", "Kind": "rollout", "TimeoutMs": m.jobTimeoutMS, "GoalMs": 500, "MaxAttempts": 2, "Service": "engines", "DueMs": 9000, "RetainS": 600},
+		},
+		"Services": []map[string]any{
+			{"Name": "plain", "HealthPath": "/health", "MaxConns": 50},
+			{"Name": "faulty", "HealthPath": "/health", "MaxConns": 50},
+			{"Name": "engines", "HealthPath": "/health", "MaxConns": 50, "Engine": map[string]any{"Models": []map[string]any{{"Name": model}}}},
 		},
-		"Services": []map[string]any{{"Name": "plain", "HealthPath": "/health", "MaxConns": 50}},
 		"Limits": map[string]any{
 			"MaxHeaderBytes": maxHeaderBytes, "MaxBodyBytes": m.maxBodyBytes, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000,
 		},
--- a/internal/node/scheduler.go
+++ b/internal/node/scheduler.go
@@ -43,6 +43,10 @@
 // cachedResultsShare is the share of the memory that results in memory may take.
 const cachedResultsShare = 0.05
 
+// outputsShare is the share of the memory that outputs may take until they are committed. A byte
+// takes up to three at times: in the output, in its result and in the encoded write.
+const outputsShare = 0.1
+
 // Memory that the items of unfinished jobs may take. An item takes up to 1 KiB with its task,
 // its text and the headers that it has usually.
 const (
@@ -178,7 +182,7 @@
 		Headers: n.adapter.Headers, View: view, Pool: serverPool, Backends: n.backends,
 		Jobs: batch.NewJobStore(store, s.MaxValueBytes), Fence: func() kv.Condition { return fence }, IsHolder: candidate.IsHolder,
 		Metrics: n.metrics, Log: n.log, FailureDomain: s.FailureDomain, Regions: s.Regions, Clock: n.clock, JobRetention: s.JobRetention,
-		MaxItems: int(jobItemsShare*float64(s.MemoryBytes)) / jobItemBytes,
+		MaxItems: int(jobItemsShare*float64(s.MemoryBytes)) / jobItemBytes, MaxOutputBytes: int64(outputsShare * float64(s.MemoryBytes)),
 	}
 	sched := scheduler.New(ctx, config)
 	controlConnections := http1.NewClient()
--- a/internal/scheduler/checkpoint.go
+++ b/internal/scheduler/checkpoint.go
@@ -63,6 +63,9 @@
 			}
 			snapshot := t.run.snapshot()
 			t.checkpointedEvents = snapshot.events
+			if len(snapshot.data) > s.Jobs.MaxWriteBytes() {
+				continue // would fail the write for all outputs in it
+			}
 			size += len(snapshot.data)
 			writes[id] = append(writes[id], batch.PartialResult{
 				Item: t.item.ID, Text: snapshot.data, Events: snapshot.events, Versions: snapshot.versions, LastVersion: snapshot.version,
--- a/internal/scheduler/commit.go
+++ b/internal/scheduler/commit.go
@@ -18,6 +18,11 @@
 func (s *Scheduler) scoreOrFinish(t *task) {
 	t.completedAt = time.Now()
 	result := batch.Result{ID: t.item.ID, Completed: true, Text: string(t.output.data), Versions: t.output.versions}
+	if s.maxOutput > 0 && result.EncodedTextLen() > s.maxOutput {
+		t.state, t.complete = taskQueued, false
+		s.startOver(t, "too long to store", t.completedAt)
+		return
+	}
 	if t.item.Reward == nil {
 		s.finishItem(t, result)
 		return
@@ -79,12 +84,11 @@
 		if now.Sub(j.commitDelayFrom) < commitDelayFor(now, j.due, j.finishedBytes, j.commitUrgency) && len(j.finished) < j.remaining {
 			continue
 		}
-		size, n := 0, 0
-		for n < len(j.finished) && (n == 0 || size < s.Jobs.MaxWriteBytes()) {
-			size += len(j.finished[n].Text) + resultOverhead
-			j.finishedBytes -= len(j.finished[n].Text)
-			n++
+		n := leadingResults(j.finished, s.Jobs.MaxWriteBytes())
+		for _, r := range j.finished[:n] {
+			j.committingBytes += len(r.Text)
 		}
+		j.finishedBytes -= j.committingBytes
 		batch := j.finished[:n:n]
 		j.finished = j.finished[n:]
 		if len(j.finished) == 0 {
@@ -96,6 +100,18 @@
 	}
 }
 
+// leadingResults returns how many of the results fit into a write of maxBytes, but at least one.
+func leadingResults(results []batch.Result, maxBytes int) int {
+	size := 0
+	for i, r := range results {
+		size += r.EncodedTextLen() + resultOverhead
+		if size > maxBytes && i > 0 {
+			return i
+		}
+	}
+	return len(results)
+}
+
 // appendResults retries one commit until it succeeds or the term ends.
 func (s *Scheduler) appendResults(j *job, position int, results []batch.Result) {
 	for s.ctx.Err() == nil {
@@ -105,6 +121,7 @@
 			s.Log.Info("job: results committed", zap.String("id", j.spec.ID), zap.Int("position", position), zap.Int("results", len(results)))
 			s.post(func() {
 				j.committing = false
+				j.committingBytes = 0
 				j.committed += len(results)
 				j.remaining -= len(results)
 				if j.remaining == 0 {
--- a/internal/scheduler/dispatch.go
+++ b/internal/scheduler/dispatch.go
@@ -194,6 +194,7 @@
 		headers: s.Headers, client: s.Backends, job: t.job.spec, item: t.item, server: handle.Server(),
 		cold: handle.Cold(), eventTimeout: eventTimeoutFor(expected, t.timeouts),
 		deadline: t.job.deadline, priority: min(lowestEnginePriority, defaultEnginePriority+t.job.priority), singleVersion: t.job.singleVersion, output: t.output, resumedEvents: t.output.events,
+		budget: s.outputs, maxOutput: s.maxOutput,
 	}
 	if t.carried {
 		t.run.priority--
@@ -238,6 +239,9 @@
 	t.state = taskQueued
 	t.queuedAt = now
 	t.run = nil
+	if r.account != nil {
+		r.account.Retain()
+	}
 	destination := t.migratingTo
 	t.migratingTo = ""
 	t.preempted = false
--- a/internal/scheduler/reward.go
+++ b/internal/scheduler/reward.go
@@ -95,7 +95,7 @@
 	}
 	defer response.Close()
 	s.reportLoad(handle, response)
-	_, err = response.ReadAll(rewardResponseMaxBytes)
+	err = response.Drain(rewardResponseMaxBytes)
 	status := response.Status()
 	switch {
 	case err != nil:
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -15,6 +15,7 @@
 
 	"cactusspoke/internal/batch"
 	"cactusspoke/internal/http1"
+	"cactusspoke/internal/memory"
 	"cactusspoke/internal/pool"
 	"cactusspoke/internal/prefill"
 	"cactusspoke/internal/protocol"
@@ -38,6 +39,8 @@
 	maxEventBytes = 1 << 20
 	// eventBufferBytes is the size of the read buffer of an event stream.
 	eventBufferBytes = 2048
+	// accountStepBytes is the step in which a run takes memory for its output.
+	accountStepBytes = 1 << 10
 )
 
 // output is the part of an item's output generated so far.
@@ -146,8 +149,36 @@
 	prefill *prefill.Running
 	// timedOut means that the run was cut since an event took too long.
 	timedOut bool
+	// budget limits what all runs hold, and account is what this one does. Without a budget
+	// both are nil.
+	budget  *memory.Budget
+	account *memory.Account
+	// accounted is the number of bytes in account.
+	accounted int
+	// maxOutput is the maximum length of the output in bytes; 0 means no limit.
+	maxOutput int
 }
 
+// hold takes memory for the output and n more bytes before they are read.
+func (r *run) hold(ctx context.Context, n int) error {
+	if r.maxOutput > 0 && len(r.output.data)+n > r.maxOutput {
+		return errOutputTooLong
+	}
+	total := len(r.output.data) + n
+	if r.account == nil || total <= r.accounted {
+		return nil
+	}
+	total = (total + accountStepBytes - 1) / accountStepBytes * accountStepBytes
+	if err := r.account.Resize(ctx, int64(total)); err != nil {
+		return err
+	}
+	r.accounted = total
+	return nil
+}
+
+// errOutputTooLong means that an output cannot be stored.
+var errOutputTooLong = errors.New("output is longer than the store accepts")
+
 // request builds the request to the engine. It resumes after the events in the
 // output.
 func (r *run) request() *http1.Request {
@@ -198,10 +229,33 @@
 	return max(minEventTimeout, expected) << min(cuts, maxTimeoutDoublings)
 }
 
-// execute runs the item until its output is complete or the run fails.
+// execute runs the item until its output is complete or the run fails. The account of the run
+// then holds the output.
 func (r *run) execute(parent context.Context) outcome {
 	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
+	if r.budget == nil {
+		return r.exchange(parent, ctx, cancel)
+	}
+	r.account = r.budget.Open(cancel)
+	if err := r.hold(ctx, 0); err != nil {
+		r.reason = err.Error()
+		r.discardOutput()
+		return outcomeCanceled
+	}
+	o := r.exchange(parent, ctx, cancel)
+	if r.account.Evicted() {
+		r.reason = memory.ErrExhausted.Error()
+		r.discardOutput()
+		o = outcomeInterrupted
+	}
+	_ = r.account.Resize(ctx, int64(len(r.output.data))) // a smaller account never fails
+	return o
+}
+
+// exchange sends the request and reads the response. cancel ends ctx, which is derived from
+// parent.
+func (r *run) exchange(parent, ctx context.Context, cancel context.CancelFunc) outcome {
 	watchdog := time.AfterFunc(max(firstEventTimeout, r.eventTimeout), cancel)
 	defer watchdog.Stop()
 	r.lastEventAt.Store(time.Now().UnixNano())
@@ -224,7 +278,7 @@
 	if o, final := r.checkHeaders(response); final {
 		return o
 	}
-	o := r.readEvents(response, watchdog)
+	o := r.readEvents(ctx, response, watchdog)
 	if o == outcomeInterrupted && parent.Err() != nil {
 		return outcomeCanceled
 	}
@@ -240,7 +294,7 @@
 	case status == http.StatusMisdirectedRequest:
 		return outcomeMisdirected, true
 	case response.Header(r.headers.NotRun) != "":
-		_, _ = response.ReadAll(maxLineBytes)
+		_ = response.Drain(maxLineBytes)
 		return outcomeRefused, true
 	case status == http.StatusUnprocessableEntity:
 		return outcomeInvalid, true
@@ -267,15 +321,21 @@
 	return outcomeComplete, false
 }
 
-// readEvents reads the events of a response into the output.
-func (r *run) readEvents(response io.Reader, watchdog *time.Timer) outcome {
+// readEvents reads the events of a response into the output. An output that takes too much
+// memory is discarded: the part before may be as wrong.
+func (r *run) readEvents(ctx context.Context, response io.Reader, watchdog *time.Timer) outcome {
 	reader := bufio.NewReaderSize(response, eventBufferBytes)
 	version := r.version
 	id := 0
 	var data []byte
 	started := false
 	for {
-		line, err := readLine(reader)
+		line, err := readLine(reader, func(n int) error { return r.hold(ctx, len(data)+n) })
+		if errors.Is(err, errOutputTooLong) || errors.Is(err, memory.ErrExhausted) {
+			r.reason = err.Error()
+			r.discardOutput()
+			return outcomeInterrupted
+		}
 		if err != nil {
 			if errors.Is(err, io.EOF) && !started && r.output.events > 0 {
 				return outcomeComplete
@@ -387,9 +447,12 @@
 }
 
 // readLine returns a line without its line ending. A truncated last line is an
-// error.
-func readLine(reader *bufio.Reader) ([]byte, error) {
+// error. It calls hold before it keeps a line, with the length of what it has read of it.
+func readLine(reader *bufio.Reader, hold func(n int) error) ([]byte, error) {
 	line, err := reader.ReadSlice('\n')
+	if holdErr := hold(len(line)); holdErr != nil {
+		return nil, holdErr
+	}
 	if err == nil {
 		return bytes.TrimRight(line, "\r\n"), nil
 	}
@@ -402,6 +465,9 @@
 	long := bytes.Clone(line)
 	for errors.Is(err, bufio.ErrBufferFull) && len(long) < maxLineBytes {
 		line, err = reader.ReadSlice('\n')
+		if holdErr := hold(len(long) + len(line)); holdErr != nil {
+			return nil, holdErr
+		}
 		long = append(long, line...)
 	}
 	return bytes.TrimRight(long, "\r\n"), err
--- a/internal/scheduler/run_test.go
+++ b/internal/scheduler/run_test.go
@@ -67,7 +67,7 @@
 			}
 			watchdog := time.NewTimer(time.Minute)
 			defer watchdog.Stop()
-			require.Equal(t, tt.want, r.readEvents(stream, watchdog), r.reason)
+			require.Equal(t, tt.want, r.readEvents(t.Context(), stream, watchdog), r.reason)
 			require.Equal(t, tt.text, string(r.output.data))
 			require.Equal(t, tt.versions, r.output.versions)
 		})
@@ -97,6 +97,21 @@
 	return copy(p, "data: more of the same event\n"), nil
 }
 
+// largeEvents is a stream of valid events of 64 KiB that never ends.
+func largeEvents() io.Reader {
+	n := 0
+	var pending []byte
+	return readerFunc(func(p []byte) (int, error) {
+		if len(pending) == 0 {
+			n++
+			pending = []byte("id: " + strconv.Itoa(n) + "\ndata: " + strings.Repeat("x", 64<<10) + "\n\n")
+		}
+		copied := copy(p, pending)
+		pending = pending[copied:]
+		return copied, nil
+	})
+}
+
 // TestReadEndlessStream asserts that a stream without end is given up, although its
 // engine keeps sending, and that none of it is kept.
 func TestReadEndlessStream(t *testing.T) {
@@ -107,15 +122,16 @@
 	}{
 		{"events", &endlessEvents{}, "more events than the item has tokens"},
 		{"one event", endlessLines{}, "event is longer than"},
+		{"large events", largeEvents(), "longer than the store accepts"},
 		{"one line", readerFunc(func(p []byte) (int, error) { return copy(p, strings.Repeat("x", len(p))), nil }), "buffer full"},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			r := &run{headers: protocol.Headers{}, job: &batch.Job{}, item: &batch.Item{ID: "i", ExpectedTokens: 500}, output: &output{}}
+			r := &run{headers: protocol.Headers{}, job: &batch.Job{}, item: &batch.Item{ID: "i", ExpectedTokens: 500}, output: &output{}, maxOutput: 2 * maxEventBytes}
 			watchdog := time.NewTimer(time.Hour)
 			defer watchdog.Stop()
 			done := make(chan outcome, 1)
-			go func() { done <- r.readEvents(tt.stream, watchdog) }()
+			go func() { done <- r.readEvents(t.Context(), tt.stream, watchdog) }()
 			select {
 			case o := <-done:
 				require.Equal(t, outcomeInterrupted, o)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -12,6 +12,7 @@
 	"cactusspoke/internal/http1"
 	"cactusspoke/internal/kv"
 	"cactusspoke/internal/load"
+	"cactusspoke/internal/memory"
 	"cactusspoke/internal/pool"
 	"cactusspoke/internal/prefill"
 	"cactusspoke/internal/protocol"
@@ -89,6 +90,8 @@
 	// MaxItems limits the items of unfinished jobs in memory; the other jobs wait. 0 means no
 	// limit.
 	MaxItems int
+	// MaxOutputBytes limits the outputs in memory that are not committed yet. 0 means no limit.
+	MaxOutputBytes int64
 	// JobRetention is how long after submission results are readable. Items are
 	// tried for the same time unless their route sets another.
 	JobRetention time.Duration
@@ -168,6 +171,8 @@
 	committed     int
 	finished      []batch.Result
 	finishedBytes int
+	// committingBytes are those of the results that are being committed.
+	committingBytes int
 	// commitDelayFrom is when the wait for the next commit began.
 	commitDelayFrom time.Time
 	committing      bool
@@ -190,10 +195,15 @@
 	ctx     context.Context
 	jobs    map[string]*job
 	// loading holds the jobs that are being loaded or deleted.
-	loading        map[string]bool
-	ended          map[string]bool
-	records        map[string]batch.Record
-	backlog        *backlog
+	loading map[string]bool
+	ended   map[string]bool
+	records map[string]batch.Record
+	backlog *backlog
+	// outputs limits the outputs that are not committed yet; see outputmemory.go.
+	outputs          *memory.Budget
+	outputsCountedAt time.Time
+	// maxOutput is the maximum length of an output in bytes; 0 means no limit.
+	maxOutput      int
 	latencies      *latencyTracker
 	prefills       *prefill.Tracker
 	retained       map[string]retainedOutput
@@ -215,9 +225,13 @@
 	if config.Results == nil {
 		config.Results = results.NewCache(0)
 	}
+	maxOutput := 0
+	if config.Jobs != nil {
+		maxOutput = config.Jobs.MaxResultBytes()
+	}
 	return &Scheduler{
-		Config: config, ctx: ctx, mailbox: make(chan func(), mailboxSize), jobs: map[string]*job{}, loading: map[string]bool{},
-		ended: map[string]bool{}, records: map[string]batch.Record{}, backlog: newBacklog(config.MaxItems), latencies: newLatencyTracker(), prefills: prefill.NewTracker(), retained: map[string]retainedOutput{}, onTimeShare: map[string]float64{},
+		Config: config, maxOutput: maxOutput, ctx: ctx, mailbox: make(chan func(), mailboxSize), jobs: map[string]*job{}, loading: map[string]bool{},
+		ended: map[string]bool{}, records: map[string]batch.Record{}, backlog: newBacklog(config.MaxItems), outputs: memory.NewBudget(config.MaxOutputBytes), latencies: newLatencyTracker(), prefills: prefill.NewTracker(), retained: map[string]retainedOutput{}, onTimeShare: map[string]float64{},
 		servicePeaks: &peakTracker{peaks: map[string]peak{}}, modelPeaks: &peakTracker{peaks: map[string]peak{}},
 	}
 }
@@ -257,6 +271,7 @@
 			continue
 		}
 		lastPass = now
+		s.countOutputs(now)
 		s.schedule(now)
 		s.commitFinished(now)
 		s.checkpoint(now)
