ingress: end the largest response when memory is short

Responses in progress were charged to the connections of their callers; one that executes a request is never closed to make room, so others were ("intake: clients refused", evicted). The limit for all responses failed whichever response exceeded it, also a sound one.

Responses that are read now have a budget of three quarters of the memory for clients. If one does not fit, the largest is ended and the others wait; what it held is released before the budget gives it away.

Refusals and heads without end did no harm before either.

--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -14,6 +14,7 @@
 	"cactusspoke/internal/http1"
 	"cactusspoke/internal/intake"
 	"cactusspoke/internal/kv"
+	"cactusspoke/internal/memory"
 	"cactusspoke/internal/poison"
 	"cactusspoke/internal/pool"
 	"cactusspoke/internal/protocol"
@@ -367,8 +368,7 @@
 func (s *Server) handleRejection(response *http1.Response, state *forwardState, handle *pool.Handle) attemptResult {
 	status := response.Status()
 	state.reason = "refused by a server with status " + strconv.Itoa(status)
-	_, err := response.ReadAll(streamBufferBytes)
-	if err != nil {
+	if err := response.Drain(streamBufferBytes); err != nil {
 		response.Abort()
 	}
 	if status == http.StatusMisdirectedRequest {
@@ -429,10 +429,22 @@
 // is sent to the caller. attempts is how many attempts it took, sender names the server or
 // peer, and release releases it.
 func (s *Server) forwardBuffered(ctx context.Context, c *app.RequestContext, r *callerRequest, state *forwardState, attempts int, sender string, release func(pool.Outcome), response *http1.Response) attemptResult {
-	body, freeMemory, err := s.readReserved(response, response.BodyLength(), func(n int64) error { return web.ReserveResponse(ctx, n) })
-	defer freeMemory()
+	account := s.responses.Open(response.Interrupt)
+	defer account.Close()
+	body, err := readReserved(response, response.BodyLength(), func(n int64) error {
+		if err := account.Resize(ctx, n); err != nil {
+			return err
+		}
+		return web.ReserveResponse(ctx, n)
+	})
+	if err != nil {
+		_ = web.ReserveResponse(ctx, 0) // less memory is always granted
+		if account.Evicted() {
+			err = memory.ErrExhausted
+		}
+	}
 	if err != nil {
-		outOfMemory := errors.Is(err, errOutOfMemory) || errors.Is(err, intake.ErrExhausted) || errors.Is(err, intake.ErrTooLarge)
+		outOfMemory := errors.Is(err, errTooLong) || errors.Is(err, memory.ErrExhausted) || errors.Is(err, intake.ErrExhausted) || errors.Is(err, intake.ErrTooLarge)
 		state.connectionLost = ctx.Err() == nil && !outOfMemory
 		releaseBroken(ctx, release)
 		state.reason = "incomplete response: " + err.Error()
@@ -462,27 +474,19 @@
 	return attemptDone
 }
 
-// errOutOfMemory means that the responses in memory have reached MaxBufferedBytes.
-var errOutOfMemory = errors.New("too many bytes of responses in memory")
-
-// readBody reads a whole response body of up to maxBufferedBytes. Bytes count against
-// MaxBufferedBytes until release is called, so that servers which send without end do
-// not exhaust the instance's memory.
-func (s *Server) readBody(response io.Reader) (body []byte, release func(), err error) {
-	return s.readReserved(response, 0, func(int64) error { return nil })
-}
+// errTooLong means that a response has more than maxBufferedBytes.
+var errTooLong = errors.New("response is too long")
 
-// readReserved is readBody for a response of a length, or 0 if it is not known. It calls
-// reserve before the buffer grows, with the bytes that it takes from then on.
-func (s *Server) readReserved(response io.Reader, length int64, reserve func(int64) error) (body []byte, release func(), err error) {
-	counted := int64(0)
-	release = func() { s.buffered.Add(-counted) }
+// readReserved reads a whole response body of a length, or 0 if it is not known, of up to
+// maxBufferedBytes. It calls reserve before the buffer grows, with the bytes that it takes from
+// then on.
+func readReserved(response io.Reader, length int64, reserve func(int64) error) (body []byte, err error) {
 	if length >= maxBufferedBytes {
-		return nil, release, errOutOfMemory
+		return nil, errTooLong
 	}
 	if length > 0 {
 		if err := reserve(length); err != nil {
-			return nil, release, err
+			return nil, err
 		}
 		body = make([]byte, 0, length)
 	}
@@ -497,21 +501,19 @@
 		if full && n > 0 {
 			grown, growErr := growBody(body, reserve)
 			if growErr != nil {
-				return nil, release, growErr
+				return nil, growErr
 			}
 			body = append(grown, probe[:n]...)
 		} else {
 			body = body[:len(body)+n]
 		}
-		counted += int64(n)
-		total := s.buffered.Add(int64(n))
 		switch {
 		case errors.Is(err, io.EOF):
-			return body, release, nil
+			return body, nil
 		case err != nil:
-			return nil, release, err
-		case len(body) >= maxBufferedBytes || total > s.MaxBufferedBytes:
-			return nil, release, errOutOfMemory
+			return nil, err
+		case len(body) >= maxBufferedBytes:
+			return nil, errTooLong
 		}
 	}
 }
--- a/internal/ingress/peer.go
+++ b/internal/ingress/peer.go
@@ -182,7 +182,7 @@
 // a server ran the request.
 func (s *Server) handlePeerError(response *http1.Response, state *forwardState, address string, failed func(string) attemptResult) attemptResult {
 	reason := "refused by a peer with status " + strconv.Itoa(response.Status())
-	if _, err := response.ReadAll(streamBufferBytes); err != nil {
+	if err := response.Drain(streamBufferBytes); err != nil {
 		response.Abort()
 	}
 	switch response.Status() {
--- a/internal/ingress/probe.go
+++ b/internal/ingress/probe.go
@@ -114,8 +114,7 @@
 func (s *Server) readProbe(server pool.Server, response *http1.Response, startedAt time.Time) error {
 	defer response.Close()
 	now := time.Now()
-	_, err := response.ReadAll(maxProbeBytes)
-	if err != nil {
+	if err := response.Drain(maxProbeBytes); err != nil {
 		return err
 	}
 	if response.Status() != http.StatusOK {
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -15,6 +15,7 @@
 	"cactusspoke/internal/directory"
 	"cactusspoke/internal/http1"
 	"cactusspoke/internal/load"
+	"cactusspoke/internal/memory"
 	"cactusspoke/internal/meter"
 	"cactusspoke/internal/poison"
 	"cactusspoke/internal/pool"
@@ -102,7 +103,7 @@
 	endRequests      context.CancelFunc
 	closeConnections atomic.Bool
 	active           atomic.Int64
-	buffered         atomic.Int64
+	responses        *memory.Budget
 	relayedRequests  atomic.Int64
 	peerPauses       pauses
 	prefills         *prefill.Tracker
@@ -117,7 +118,7 @@
 // New returns a server.
 func New(config Config) *Server {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Server{Config: config, prefills: prefill.NewTracker(), requestsEnd: ctx, endRequests: cancel, gates: newGates()}
+	return &Server{Config: config, responses: memory.NewBudget(config.MaxBufferedBytes), prefills: prefill.NewTracker(), requestsEnd: ctx, endRequests: cancel, gates: newGates()}
 }
 
 // DisableKeepAlives disables keep-alive: each response closes its connection.
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -40,9 +40,9 @@
 	// schedulerServersWatchInterval is the same for the scheduler. It is shorter
 	// because the scheduler places most of the work.
 	schedulerServersWatchInterval = 300 * time.Millisecond
-	// bufferedShare is the share of the memory that responses of backend servers may
-	// take.
-	bufferedShare = 0.25
+	// responsesShare is the share of the memory for clients that responses of backend servers may
+	// take while they are read, so that servers which send without end leave room for others.
+	responsesShare = 0.75
 	// maxBodyBytes limits the size of a request body.
 	maxBodyBytes = 34 << 20
 	// shutdownMargin is the part of the shutdown grace period that is reserved for
@@ -129,12 +129,13 @@
 		return serverPool.SoftwareSeen(services, streamorigin.Retention)
 	}, entryDirectory.Size, e.log)
 	holderResults := results.NewClient(http1.NewClient(), e.metrics, e.log)
+	limits := intake.LimitsFor(s.MemoryBytes, s.MaxDescriptors)
 	frontServer := ingress.New(ingress.Config{
 		HolderResults: holderResults,
 		Headers:       e.adapter.Headers, Paths: e.adapter.Paths, Codec: e.adapter.Codec,
 		View: view, Pool: serverPool, Backends: backends, Jobs: batch.NewJobStore(store, s.MaxValueBytes),
 		StoreReachable: monitored.Reachable, Directory: entryDirectory, Clock: clock, Meter: usageMeter, Poison: poisonTracker, Streams: streams, Software: pool.NewSoftwareReader(store, e.adapter.ServersPrefix, serverPool), Reach: paths, Metrics: e.metrics, Log: e.log,
-		MaxBufferedBytes: int64(bufferedShare * float64(s.MemoryBytes)),
+		MaxBufferedBytes: int64(responsesShare * float64(limits.Bytes)),
 		Address:          s.FrontAddress, FailureDomain: s.FailureDomain, Regions: s.Regions, MaxAddressTTL: s.MaxAddressTTL,
 	})
 	serverSubscriber := pool.NewSubscriber(serverPool, func(ctx context.Context, view kv.View) error {
@@ -151,7 +152,7 @@
 	if s.MaxDescriptors < 0 {
 		e.log.Warn("entry: limit of descriptors in the settings is invalid, connections are not limited in number")
 	}
-	budget := intake.NewBudget(intake.LimitsFor(s.MemoryBytes, s.MaxDescriptors))
+	budget := intake.NewBudget(limits)
 	components := newComponentGroup(workCtx, e.log)
 	replicas := e.newReplicas(store, monitored, entryDirectory, view, entryViews, web.NewIntake(budget))
 	entryDirectory.UseContact(func() (time.Duration, bool) {
