http1: quote 128 bytes of an invalid response

Errors of net/http's parser and of strconv quote the whole line that they reject, and each failed attempt is logged: 40,000 bytes for a head of 10,000, up to 1 MiB for a bad number in an event.

Such errors now quote 128 bytes. An error of the parser that is longer is also an ErrInvalidResponse: the server did answer, so it is no evidence of a lost path.

--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -452,7 +452,7 @@
 	for {
 		response, err := http.ReadResponse(cn.reader, &http.Request{Method: r.Method})
 		if err != nil {
-			return nil, Class.Wrap(err)
+			return nil, shorten(err)
 		}
 		if err := validateStatus(response); err != nil {
 			return nil, err
@@ -471,11 +471,22 @@
 // any number and version.
 func validateStatus(r *http.Response) error {
 	if r.ProtoMajor != 1 || r.StatusCode < http.StatusContinue || r.StatusCode > maxStatus || r.StatusCode == http.StatusSwitchingProtocols {
-		return Class.New("%w: status line %q", ErrInvalidResponse, r.Proto+" "+r.Status)
+		return Class.New("%w: status line %.*q", ErrInvalidResponse, maxQuotedBytes, r.Proto+" "+r.Status)
 	}
 	return nil
 }
 
+// maxQuotedBytes limits what an error quotes of a server's response, since errors are logged.
+const maxQuotedBytes = 128
+
+// shorten wraps an error of the parser of net/http, which quotes lines of any length.
+func shorten(err error) error {
+	if text := err.Error(); len(text) > maxQuotedBytes {
+		return Class.New("%w: %.*q...", ErrInvalidResponse, maxQuotedBytes, text)
+	}
+	return Class.Wrap(err)
+}
+
 // encodeRequest serializes a request.
 func encodeRequest(r *Request) []byte {
 	b := make([]byte, 0, headerCapacity+len(r.Body))
--- a/internal/http1/client_test.go
+++ b/internal/http1/client_test.go
@@ -284,6 +284,20 @@
 	}
 }
 
+// TestLongGarbage guards against log lines as long as what a server in trouble sends.
+func TestLongGarbage(t *testing.T) {
+	garbage := strings.Repeat("\x00", 10_000)
+	for _, head := range []string{garbage, "HTTP/1.1 " + garbage, "HTTP/1.1 200 OK\r\n" + garbage, "HTTP/1.1 000 " + garbage, "HTTP/1.1 200 OK\r\nContent-Length: " + garbage} {
+		t.Run(head[:15], func(t *testing.T) {
+			s := newScriptedServer(t, func(_ int64, c net.Conn, _ *http.Request) { _, _ = io.WriteString(c, head+"\r\n\r\n") })
+			_, err := get(t.Context(), http1.NewClient(), s.address)
+			require.Error(t, err)
+			require.Less(t, len(err.Error()), 1000)
+			require.False(t, http1.NotSent(err))
+		})
+	}
+}
+
 // TestHeadBrokenOff guards against responses that end within their head and would be taken
 // for whole ones with an empty or short body.
 func TestHeadBrokenOff(t *testing.T) {
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -39,6 +40,8 @@
 	maxEventBytes = 1 << 20
 	// eventBufferBytes is the size of the read buffer of an event stream.
 	eventBufferBytes = 2048
+	// maxReasonBytes bounds what is logged of an event that is invalid.
+	maxReasonBytes = 128
 	// accountStepBytes is the step in which a run takes memory for its output.
 	accountStepBytes = 1 << 10
 )
@@ -392,7 +395,7 @@
 			version, err = strconv.ParseInt(string(value), 10, 64)
 		}
 		if err != nil {
-			r.reason = "invalid event: " + err.Error()
+			r.reason = fmt.Sprintf("invalid event: %.*s", maxReasonBytes, err.Error())
 			return outcomeInterrupted
 		}
 		started = true
--- a/internal/scheduler/run_test.go
+++ b/internal/scheduler/run_test.go
@@ -97,6 +97,16 @@
 	return copy(p, "data: more of the same event\n"), nil
 }
 
+// TestLongGarbageInEvents guards against log lines as long as what an engine in trouble sends.
+func TestLongGarbageInEvents(t *testing.T) {
+	r := &run{headers: protocol.Headers{WeightVersions: "X-Weight-Versions"}, job: &batch.Job{}, item: &batch.Item{ID: "i"}, output: &output{}}
+	for _, name := range []string{"id", "x-weight-versions"} {
+		stream := strings.NewReader(name + ": " + strings.Repeat("x", 100_000) + "\n\n")
+		require.Equal(t, outcomeInterrupted, r.readEvents(t.Context(), stream, time.NewTimer(time.Hour)))
+		require.Less(t, len(r.reason), 1000)
+	}
+}
+
 // largeEvents is a stream of valid events of 64 KiB that never ends.
 func largeEvents() io.Reader {
 	n := 0
