--- a/internal/memory/budget_test.go
+++ b/internal/memory/budget_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -14,6 +15,19 @@
 	"pgregory.net/rapid"
 )
 
+// A response that does not fit ends the largest one.
+func ExampleBudget() {
+	budget := memory.NewBudget(100)
+	var endless *memory.Account
+	endless = budget.Open(func() { fmt.Println("ended"); go endless.Close() })
+	_ = endless.Resize(context.Background(), 90)
+	sound := budget.Open(func() {})
+	fmt.Println(sound.Resize(context.Background(), 20), budget.Held())
+	// Output:
+	// ended
+	// <nil> 20
+}
+
 // TestEviction covers which account is ended if the budget is exhausted.
 func TestEviction(t *testing.T) {
 	tests := []struct {
--- a/internal/node/broken_test.go
+++ b/internal/node/broken_test.go
@@ -17,24 +17,10 @@
 // startRawServer registers a server of a service that writes a fixed text to each
 // connection after a request and closes it.
 func (c *cluster) startRawServer(id, service, text string) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(c.t, err)
-	c.t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				_, _ = conn.Read(make([]byte, 4096))
-				_, _ = io.WriteString(conn, text)
-				_ = conn.Close()
-			}()
-		}
-	}()
-	c.store.Put(platform.ServersPrefix+id, map[string]any{
-		"Service": service, "Address": l.Addr().String(), "Zone": zone, "Version": "v1", "Slots": 8, "State": "ready", "ColdLeftMs": 0, "Sequence": 1, "born": 1,
+	c.serveConnections(id, service, nil, func(conn net.Conn) {
+		_, _ = conn.Read(make([]byte, 4096))
+		_, _ = io.WriteString(conn, text)
+		_ = conn.Close()
 	})
 }
 
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -112,6 +112,31 @@
 	return c
 }
 
+// serveConnections registers a server of a service, which has some models, and calls serve for
+// each of its connections.
+func (c *cluster) serveConnections(id, service string, models map[string]int64, serve func(net.Conn)) {
+	c.t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(c.t, err)
+	c.t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn)
+		}
+	}()
+	list := []map[string]any{}
+	for name, version := range models {
+		list = append(list, map[string]any{"Name": name, "Version": version})
+	}
+	c.store.Put(platform.ServersPrefix+id, map[string]any{
+		"Service": service, "Address": l.Addr().String(), "Zone": zone, "Version": "v1", "Slots": 8, "State": "ready", "Models": list, "Sequence": 1, "born": 1,
+	})
+}
+
 // freeAddress returns an address that no other process and no other test uses.
 func freeAddress(t testing.TB) string {
 	t.Helper()
--- a/internal/node/refusal_test.go
+++ b/internal/node/refusal_test.go
@@ -10,8 +10,6 @@
 	"testing"
 
 	"cactusspoke/platform"
-
-	"github.com/stretchr/testify/require"
 )
 
 // literalServer is a backend server that gives the same response to each request.
@@ -20,26 +18,8 @@
 // startLiteralServer registers a server that responds with a head, to which the request ID is
 // added, and an empty body.
 func (c *cluster) startLiteralServer(id, service string, models map[string]int64, head string) *literalServer {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(c.t, err)
-	c.t.Cleanup(func() { _ = l.Close() })
 	s := &literalServer{}
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go s.serve(conn, head)
-		}
-	}()
-	var list []map[string]any
-	for name, version := range models {
-		list = append(list, map[string]any{"Name": name, "Version": version})
-	}
-	c.store.Put(platform.ServersPrefix+id, map[string]any{
-		"Service": service, "Address": l.Addr().String(), "Zone": zone, "Version": "v1", "Slots": 8, "State": "ready", "Models": list, "Sequence": 1, "born": 1,
-	})
+	c.serveConnections(id, service, models, func(conn net.Conn) { s.serve(conn, head) })
 	return s
 }
 
--- a/internal/node/repeated_test.go
+++ b/internal/node/repeated_test.go
@@ -34,26 +34,8 @@
 
 // startRepeatingServer registers a repeating server of a service.
 func (c *cluster) startRepeatingServer(id, service string, models map[string]int64, answer string) *repeatingServer {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(c.t, err)
-	c.t.Cleanup(func() { _ = l.Close() })
 	s := &repeatingServer{answer: answer}
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go s.serve(conn)
-		}
-	}()
-	var list []map[string]any
-	for name, version := range models {
-		list = append(list, map[string]any{"Name": name, "Version": version})
-	}
-	c.store.Put(platform.ServersPrefix+id, map[string]any{
-		"Service": service, "Address": l.Addr().String(), "Zone": zone, "Version": "v1", "Slots": 8, "State": "ready", "Models": list, "Sequence": 1, "born": 1,
-	})
+	c.serveConnections(id, service, models, s.serve)
 	return s
 }
 
