ingress: do not refuse a job whose earlier attempt may be accepted

All attempts of a job have its ID, so the later 503, which promises that no part of the job runs, was false, and a caller that goes by it submits the items anew.

Cause: each submission was judged alone.

--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -105,6 +105,13 @@
 	job.SubmittedAt = s.Clock.TimeOfDay(r.receivedAt).UnixMilli()
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
+	key := submission{r.customer, r.id}
+	r.mayHaveRun = s.submissions.has(key, time.Now())
+	defer func() {
+		if r.mayHaveRun || c.Response.StatusCode() == http.StatusAccepted {
+			s.submissions.add(key, time.Now())
+		}
+	}()
 	if !s.StoreReachable() && s.relay(ctx, c, r) {
 		return
 	}
--- a/internal/ingress/job_test.go
+++ b/internal/ingress/job_test.go
@@ -152,6 +152,62 @@
 	}
 }
 
+// TestRefusedResubmission guards against a job that is refused, which promises that no part of it
+// runs, although an earlier attempt at the same instance was or may have been accepted.
+func TestRefusedResubmission(t *testing.T) {
+	tests := []struct {
+		name     string
+		reached  bool
+		peer     http.HandlerFunc
+		first    int
+		customer string
+		want     int
+	}{
+		{"peer was killed", false, loseConnection, http.StatusGatewayTimeout, customer, http.StatusGatewayTimeout},
+		{"accepted", true, nil, http.StatusAccepted, customer, http.StatusGatewayTimeout},
+		{"accepted by a peer", false, respondWith(http.StatusAccepted), http.StatusAccepted, customer, http.StatusGatewayTimeout},
+		{"refused", false, nil, http.StatusServiceUnavailable, customer, http.StatusServiceUnavailable},
+		{"job of another customer", true, nil, http.StatusAccepted, "b", http.StatusServiceUnavailable},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			store := &failingStore{Store: kvtest.New(1, kvtest.Faults{}).Client()}
+			if !tt.reached {
+				store.errs = []error{kv.ErrRefused}
+			}
+			s := newJobServer(t, store, tt.reached, tt.peer)
+			submit := func(customer string) int {
+				c := &app.RequestContext{}
+				now := time.Now()
+				s.submitJob(t.Context(), c, &callerRequest{
+					receivedAt: now, deadline: now.Add(5 * time.Second), method: http.MethodPost, id: jobID, customer: customer,
+					requestURI: "/jobs/j", path: "/jobs/j", host: "host", route: &routetable.Route{Name: "jobs", Kind: routetable.Rollout},
+				})
+				return c.Response.StatusCode()
+			}
+			require.Equal(t, tt.first, submit(customer))
+			store.errs = []error{kv.ErrRefused}
+			s.Directory.Reset(nil)
+			require.Equal(t, tt.want, submit(tt.customer))
+		})
+	}
+}
+
+// TestSubmissions guards against jobs that are remembered without a limit.
+func TestSubmissions(t *testing.T) {
+	var s submissions
+	now := time.Now()
+	for i := range 2 * maxSubmissions {
+		s.add(submission{customer, strconv.Itoa(i)}, now)
+	}
+	require.Len(t, s.until, maxSubmissions)
+	last := submission{customer, strconv.Itoa(2*maxSubmissions - 1)}
+	require.True(t, s.has(last, now))
+	require.False(t, s.has(last, now.Add(submissionMemory)))
+	s.add(submission{"b", "j"}, now.Add(2*submissionMemory))
+	require.Len(t, s.until, 1, "expired ones are kept")
+}
+
 // TestRefusalAfterAttempt guards against a refusal, which promises that a request has not run,
 // of one that may have run at a peer before.
 func TestRefusalAfterAttempt(t *testing.T) {
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -104,6 +104,7 @@
 	closeConnections atomic.Bool
 	active           atomic.Int64
 	responses        *memory.Budget
+	submissions      submissions
 	relayedRequests  atomic.Int64
 	peerPauses       pauses
 	prefills         *prefill.Tracker
