ingress: assert in TestReserveBeforeGrowth that nothing stays counted

The change of the memory for responses had dropped that assertion, since the reader no longer counts by itself. The test now passes the reserved bytes to a budget, as forwardBuffered does, and asserts what it holds during and after. A comment is worded anew.

--- a/internal/ingress/reserve_test.go
+++ b/internal/ingress/reserve_test.go
@@ -7,6 +7,8 @@
 	"strings"
 	"testing"
 
+	"cactusspoke/internal/memory"
+
 	"github.com/stretchr/testify/require"
 )
 
@@ -30,19 +32,24 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
+			budget := memory.NewBudget(1 << 20)
+			account := budget.Open(func() {})
 			held := int64(0)
 			body, err := readReserved(io.MultiReader(strings.NewReader(strings.Repeat("x", test.size))), int64(test.length), func(n int64) error {
 				if n > test.granted {
 					return errRefused
 				}
 				held = n
-				return nil
+				return account.Resize(t.Context(), n)
 			})
 			require.ErrorIs(t, err, test.want)
 			if test.want == nil {
 				require.Equal(t, bytes.Repeat([]byte("x"), test.size), append([]byte{}, body...))
 				require.Equal(t, int64(cap(body)), held)
+				require.Equal(t, held, budget.Held())
 			}
+			account.Close()
+			require.Zero(t, budget.Held())
 		})
 	}
 }
--- a/internal/ingress/submitted.go
+++ b/internal/ingress/submitted.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// submissionMemory is how long an instance remembers a job that it has accepted, or of which it
-	// does not know whether it was. Callers submit a job again within seconds.
+	// submissionMemory is how long an instance remembers a job that it has accepted or may have
+	// passed on. Callers submit a job again within seconds.
 	submissionMemory = 2 * time.Minute
 	// maxSubmissions limits the jobs that are remembered.
 	maxSubmissions = 4096
