scheduler: TestLargestRunIsEnded must not wait for its own reader

Trace: the goroutine of the ended run sent its outcome on a channel without a buffer before it closed its account, and the test, which reads the channel last, waited in hold for that account. The product closes the account without waiting for a reader: execute releases the bytes itself. The channel has a buffer now; the checks are the same.

--- a/internal/scheduler/outputmemory_test.go
+++ b/internal/scheduler/outputmemory_test.go
@@ -71,7 +71,7 @@
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	endless := newRun(cancel)
-	done := make(chan outcome)
+	done := make(chan outcome, 1) // the account must be closed before the outcome is read
 	go func() {
 		defer endless.account.Close()
 		done <- endless.readEvents(ctx, largeEvents(), time.NewTimer(time.Hour))
