--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -86,8 +86,8 @@
 	FailureDomain string
 	// Regions is the region of each failure domain.
 	Regions map[string]string
-	// MaxBufferedBytes limits the responses of backend servers that are held in memory
-	// at one time.
+	// MaxBufferedBytes limits the responses of backend servers that are in memory while they
+	// are read.
 	MaxBufferedBytes int64
 	// MaxAddressTTL is the operator's upper bound for the TTL of a list of addresses.
 	MaxAddressTTL time.Duration
