--- a/review/testdata/lab3/orders.go
+++ b/review/testdata/lab3/orders.go
@@ -5,7 +5,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -64,10 +66,11 @@
 	return broken
 }
 
-// lateConfiguration adds a route while the store ends waiting watches of the configuration, and
-// submits a job to it as soon as an entry serves it. The first run of each item fails.
+// lateConfiguration adds one route after the other and submits a job to each as soon as an entry
+// serves it, while the store ends watches that have waited for about a second. The first run of
+// each item fails.
 func lateConfiguration(l *lab) bool {
-	const rounds, items, attempts = 12, 4, 3 // MaxAttempts
+	const items, attempts = 4, 3 // MaxAttempts
 	var mu sync.Mutex
 	answered500 := map[string]int{}
 	engine := func(_ *server, w http.ResponseWriter, r *http.Request, _ []byte) {
@@ -83,7 +86,7 @@
 			w.WriteHeader(http.StatusInternalServerError)
 			return
 		}
-		stream(w, r, outputEvents(id, 5), 10*time.Millisecond)
+		stream(w, r, outputEvents(id, 5), 2*time.Millisecond)
 	}
 	plain := func(_ *server, w http.ResponseWriter, r *http.Request, _ []byte) {
 		w.Header().Set("X-Server-Seal", seal(r.Header.Get("X-Attempt-Id")))
@@ -106,17 +109,17 @@
 		})
 	}
 	time.Sleep(2 * time.Second)
-	broken := false
-	for round := range rounds {
+	if l.trouble {
+		go store.limitWatches()
+	}
+	accepted, early := 0, 0
+	for round := 0; time.Since(l.startedAt) < 95*time.Second; round++ {
+		time.Sleep(time.Duration(700+rand.IntN(400)) * time.Millisecond)
 		prefix, job := fmt.Sprintf("/added-%d/", round), fmt.Sprintf("step-%d", round)
-		routes = append(routes,
+		current := append(slices.Clone(routes),
 			routeOf(fmt.Sprintf("jobs-%d", round), prefix, "rollout", "sim-lm", route{"DueMs": 7500, "RetainS": 40}),
 			routeOf(fmt.Sprintf("check-%d", round), "/serves"+prefix, "safe", "slot-portal", nil))
-		if l.trouble {
-			n := store.cutWatches("op%2Fconfig")
-			l.note("store: %d waiting watches of the configuration are cut", n)
-		}
-		l.configure(routes, []string{"sim-lm"}, []string{"slot-portal"})
+		l.configure(current, []string{"sim-lm"}, []string{"slot-portal"})
 		at := l.firstServing(fronts, "/serves"+prefix)
 		var list []item
 		for i := range items {
@@ -128,8 +131,9 @@
 		if a.status != http.StatusAccepted {
 			continue
 		}
+		accepted++
 		var found []result
-		for until := time.Now().Add(5 * time.Second); len(found) < items && time.Now().Before(until); time.Sleep(100 * time.Millisecond) {
+		for until := time.Now().Add(4 * time.Second); len(found) < items && time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
 			found, _ = l.results(0, at, job)
 		}
 		for _, r := range found {
@@ -137,10 +141,14 @@
 			failures := answered500[r.ID]
 			mu.Unlock()
 			l.note("client: result of %s: %s after %d answers of 500", r.ID, r.State, failures)
-			broken = broken || r.State == "dead_letter" && failures < attempts
+			if r.State == "dead_letter" && failures < attempts {
+				early++
+			}
 		}
 	}
-	return broken
+	l.note("store: %d waiting watches were cut", store.cuts())
+	l.note("clients: %d jobs were accepted; %d items are dead_letter before %d answers of 500", accepted, early, attempts)
+	return early > 0
 }
 
 // firstServing returns the first entry that serves a path.
@@ -212,7 +220,7 @@
 // softwareVersions lets the last server of an old software version crash and start again in
 // place, with the version of the others, while clients read streams that it began.
 func softwareVersions(l *lab) bool {
-	const clients, total = 18, 60
+	const servers, clients, total = 9, 60, 60
 	answer := func(s *server, w http.ResponseWriter, r *http.Request, _ []byte) {
 		s.mu.Lock()
 		software := s.software
@@ -225,10 +233,12 @@
 	}
 	l.configure([]route{routeOf("chat", "/chat/", "streaming", "sim-lm", route{"Resumable": true, "TimeoutMs": 12000})}, []string{"sim-lm"}, nil)
 	var workers []*server
-	for i := range 3 {
-		s := l.addServer(fmt.Sprintf("w-%d", i), "sim-lm", zones[i], true, answer)
-		if i < 2 {
+	for i := range servers {
+		s := l.addServer(fmt.Sprintf("w-%d", i), "sim-lm", zones[i%len(zones)], true, answer)
+		if i < servers-1 {
+			s.mu.Lock()
 			s.software = "2.0"
+			s.mu.Unlock()
 			s.register()
 		}
 		workers = append(workers, s)
@@ -257,10 +267,10 @@
 		}()
 	}
 	time.Sleep(1500 * time.Millisecond)
-	last := workers[2]
+	last := workers[servers-1]
 	if l.trouble {
 		last.crash()
-		time.Sleep(800 * time.Millisecond)
+		time.Sleep(300 * time.Millisecond)
 		last.mu.Lock()
 		last.software = "2.0"
 		last.mu.Unlock()
--- a/review/testdata/lab3/proxy.go
+++ b/review/testdata/lab3/proxy.go
@@ -2,24 +2,27 @@
 
 import (
 	"bytes"
+	"math/rand/v2"
 	"net"
 	"sync"
+	"time"
 )
 
-// proxy passes connections on. It can end the watches of a prefix that wait, and cut a path.
+// proxy passes connections on. It can end watches that wait, and cut a path.
 type proxy struct {
 	address, target string
 	listener        net.Listener
 
-	mu    sync.Mutex
-	conns map[*proxied]bool
+	mu         sync.Mutex
+	conns      map[*proxied]bool
+	watchesCut int
 }
 
 // proxied is a connection through a proxy.
 type proxied struct {
 	client, server net.Conn
-	// request is the first line of the last request.
-	request []byte
+	// watchUntil is until when a watch may wait; zero if the last request is none.
+	watchUntil time.Time
 }
 
 // newProxy returns a proxy on a free port of a loopback address.
@@ -61,15 +64,19 @@
 	p.mu.Unlock()
 }
 
-// forward copies bytes and notes the first lines of requests.
+// forward copies bytes and notes whether the last request is a watch.
 func (p *proxy) forward(c *proxied, from, to net.Conn, requests bool) {
 	buffer := make([]byte, 64<<10)
 	for {
 		n, err := from.Read(buffer)
 		if n > 0 && requests {
 			if line, _, found := bytes.Cut(buffer[:n], []byte("\r\n")); found && bytes.HasSuffix(line, []byte("HTTP/1.1")) {
+				until := time.Time{}
+				if bytes.Contains(line, []byte("/api/kv-watch?")) {
+					until = time.Now().Add(500*time.Millisecond + rand.N(time.Second))
+				}
 				p.mu.Lock()
-				c.request = bytes.Clone(line)
+				c.watchUntil = until
 				p.mu.Unlock()
 			}
 		}
@@ -95,16 +102,26 @@
 	}
 }
 
-// cutWatches ends the waiting watches of a prefix, written as in a query, and returns how many.
-func (p *proxy) cutWatches(prefix string) int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	n := 0
-	for c := range p.conns {
-		if bytes.Contains(c.request, []byte("/api/kv-watch?Prefix="+prefix+"&")) {
-			_, _ = c.client.Close(), c.server.Close()
-			n++
+// limitWatches ends each watch that has waited for one second, with a random deviation of up to
+// half of that.
+func (p *proxy) limitWatches() {
+	for {
+		time.Sleep(10 * time.Millisecond)
+		now := time.Now()
+		p.mu.Lock()
+		for c := range p.conns {
+			if !c.watchUntil.IsZero() && now.After(c.watchUntil) {
+				_, _ = c.client.Close(), c.server.Close()
+				p.watchesCut++
+			}
 		}
+		p.mu.Unlock()
 	}
-	return n
+}
+
+// cuts returns how many watches were ended.
+func (p *proxy) cuts() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.watchesCut
 }
