--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -7,4 +7,4 @@
 	echo "run the deploy file's build and review/build-3.sh first"
 	exit 2
 fi
-exec "$root/target/review-lab3" late-configuration "$root" "$PWD"
+exec "$root/target/review-lab3" line-feeds "$root" "$PWD"
