scheduler: log the configuration behind the retries of a job

The logs did not tell a holder whose configuration lacks the job's route from one that has another limit, or from one that counts other outcomes as failures.

Ruled out: nothing yet, this only adds what the hypotheses need.

--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -124,7 +124,7 @@
 	case err == nil:
 		c.SetStatusCode(http.StatusAccepted)
 		s.Log.Info("job: accepted", zap.String("id", r.id), zap.String("customer", r.customer), zap.Int64("step", job.Step),
-			zap.Int("items", items.Len()), zap.Int64("min-version", job.MinVersion), zap.Duration("took", time.Since(r.receivedAt)))
+			zap.Int("items", items.Len()), zap.Int64("min-version", job.MinVersion), zap.Int64("configuration", s.View.Table().Version()), zap.Duration("took", time.Since(r.receivedAt)))
 	case errors.Is(err, kv.ErrRefused) && !r.mayHaveRun:
 		s.respondError(c, r, http.StatusServiceUnavailable, retryAfterBusy, err.Error())
 	case errors.Is(err, kv.ErrForbidden):
--- a/internal/scheduler/dispatch.go
+++ b/internal/scheduler/dispatch.go
@@ -283,7 +283,8 @@
 	case o == outcomeCanceled && destination != "":
 		s.startRun(t, destination)
 	case o == outcomeInvalid || t.failures >= t.job.maxAttempts:
-		s.Log.Info("item: given up", zap.String("id", t.item.ID), zap.String("job", t.job.spec.ID), zap.Stringer("outcome", o), zap.Int("failures", t.failures))
+		s.Log.Info("item: given up", zap.String("id", t.item.ID), zap.String("job", t.job.spec.ID), zap.Stringer("outcome", o), zap.Int("failures", t.failures),
+			zap.Int("max-attempts", t.job.maxAttempts), zap.Int64("configuration", s.View.Table().Version()))
 		s.finishItem(t, batch.Result{ID: t.item.ID})
 	}
 }
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -114,7 +114,9 @@
 	// Due times are counted on the monotonic clock, since the time of day may jump.
 	submitted := time.Now().Add(-age)
 	j := &job{spec: spec, due: submitted.Add(defaultDue), deadline: submitted.Add(s.JobRetention), committed: len(results), maxAttempts: 1, groups: newGroupTracker(spec)}
-	if route, ok := s.View.Table().Match(spec.Host, spec.Items[0].Path); ok {
+	table := s.View.Table()
+	route, known := table.Match(spec.Host, spec.Items[0].Path)
+	if known {
 		if route.DueAfter > 0 {
 			j.due, j.dueConfigured = submitted.Add(route.DueAfter), true
 		}
@@ -124,7 +126,7 @@
 		j.singleVersion = route.SingleVersion
 		j.maxAttempts = route.MaxAttempts
 		j.objective = route.LatencyObjective
-		j.priority = s.View.Table().Priority(route, spec.Customer)
+		j.priority = table.Priority(route, spec.Customer)
 	}
 	committed := map[string]bool{}
 	for _, r := range results {
@@ -152,7 +154,7 @@
 	s.jobs[spec.ID] = j
 	s.Results.Open(spec, results)
 	s.Log.Info("job: begun", zap.String("id", spec.ID), zap.Int("items", len(spec.Items)), zap.Int("left", j.remaining), zap.Int("wanted-groups", spec.WantedGroups), zap.String("model", spec.Model),
-		zap.Duration("age", age))
+		zap.Duration("age", age), zap.Int64("configuration", table.Version()), zap.Bool("route-known", known), zap.Int("max-attempts", j.maxAttempts))
 	for _, t := range j.tasks {
 		if t.complete {
 			s.scoreOrFinish(t)
