scheduler: begin a job only under the configuration that accepted it

Cause: jobs and the configuration come to the duty holder by separate watches. The holder read the limit of attempts, the due time, the end of retries, the objective, the priority and SingleVersion of a job's route once, from whatever version it had. If that lacked the route, the limit was 1 for the job's life.

Change: the record of a job names the version of the configuration under which it was accepted; the holder begins it once it has that version or a later one. Jobs in progress follow later versions. A result of several weight versions starts over if its route has come to require one.

Why it works: what an entry instance knew when it accepted a job is known to the holder before any item runs, whatever the order of the watches.

--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -39,7 +39,10 @@
 	WantedGroups int
 	// SubmittedAt is the submission time in Unix milliseconds.
 	SubmittedAt int64
-	Items       []Item
+	// ConfigurationVersion is the version of the configuration under which the job was
+	// accepted; 0 if it is not known.
+	ConfigurationVersion int64
+	Items                []Item
 }
 
 // Item is one request of a job.
@@ -168,22 +171,26 @@
 	Parts int
 	// SubmittedAt is the submission time in Unix milliseconds.
 	SubmittedAt int64
+	// ConfigurationVersion is the version of the configuration under which the job was
+	// accepted; 0 in records of versions before it was recorded.
+	ConfigurationVersion int64
 }
 
 // Record returns the job's record.
 func (j *Job) Record() Record {
-	return Record{ID: j.ID, Customer: j.Customer, Total: len(j.Items), SubmittedAt: j.SubmittedAt}
+	return Record{ID: j.ID, Customer: j.Customer, Total: len(j.Items), SubmittedAt: j.SubmittedAt, ConfigurationVersion: j.ConfigurationVersion}
 }
 
 type wireRecord struct {
-	Customer    string `json:"customer"`
-	Total       int    `json:"total"`
-	Parts       int    `json:"parts"`
-	SubmittedAt int64  `json:"submitted-at"`
+	Customer             string `json:"customer"`
+	Total                int    `json:"total"`
+	Parts                int    `json:"parts"`
+	SubmittedAt          int64  `json:"submitted-at"`
+	ConfigurationVersion int64  `json:"configuration-version,omitempty"`
 }
 
 func encodeRecord(r Record) []byte {
-	return mustJSON(wireRecord{r.Customer, r.Total, r.Parts, r.SubmittedAt})
+	return mustJSON(wireRecord{r.Customer, r.Total, r.Parts, r.SubmittedAt, r.ConfigurationVersion})
 }
 
 func decodeRecord(id string, data []byte) (Record, error) {
@@ -191,7 +198,7 @@
 	if err := json.Unmarshal(data, &w); err != nil {
 		return Record{}, Class.Wrap(err)
 	}
-	return Record{id, w.Customer, w.Total, w.Parts, w.SubmittedAt}, nil
+	return Record{id, w.Customer, w.Total, w.Parts, w.SubmittedAt, w.ConfigurationVersion}, nil
 }
 
 // Age returns the time since the job was submitted.
--- a/internal/batch/jobstore.go
+++ b/internal/batch/jobstore.go
@@ -79,7 +79,7 @@
 // SubmitItems is Submit for a job whose items are encoded; those of j are ignored.
 func (s *JobStore) SubmitItems(ctx context.Context, j *Job, items *EncodedItems) error {
 	lists := items.finish()
-	record := Record{j.ID, j.Customer, items.Len(), len(lists), j.SubmittedAt}
+	record := Record{j.ID, j.Customer, items.Len(), len(lists), j.SubmittedAt, j.ConfigurationVersion}
 	for len(lists) > maxPartsPerWrite {
 		if err := s.writeParts(ctx, j, record.Parts-len(lists), lists[:maxPartsPerWrite]); err != nil {
 			return err
@@ -244,7 +244,7 @@
 
 // LoadRecord returns the job of a record with its items.
 func (s *JobStore) LoadRecord(ctx context.Context, record Record) (*Job, error) {
-	j := &Job{ID: record.ID, Customer: record.Customer, SubmittedAt: record.SubmittedAt}
+	j := &Job{ID: record.ID, Customer: record.Customer, SubmittedAt: record.SubmittedAt, ConfigurationVersion: record.ConfigurationVersion}
 	for part := range record.Parts {
 		item, _, err := s.store.Get(ctx, specKey(record.ID, part))
 		if err != nil {
--- a/internal/batch/jobstore_test.go
+++ b/internal/batch/jobstore_test.go
@@ -151,6 +151,35 @@
 	require.Equal(t, job.Items, loaded.Items)
 }
 
+// TestConfigurationVersion guards against the loss of the configuration version of a job, and
+// against records of earlier versions that cannot be read since they lack it.
+func TestConfigurationVersion(t *testing.T) {
+	tests := []struct {
+		name   string
+		record string // that an earlier version wrote; empty for one of this version
+		want   int64
+	}{
+		{"this version", "", 7},
+		{"earlier version", `{"customer":"a","total":1,"parts":1,"submitted-at":5}`, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			client := kvtest.New(1, kvtest.Faults{}).Client()
+			job := newJob("j", 1)
+			job.ConfigurationVersion = 7
+			require.NoError(t, batch.NewJobStore(client, 1<<20).Submit(t.Context(), job))
+			if tt.record != "" {
+				_, err := client.Commit(t.Context(), kv.Txn{Puts: []kv.Put{{Key: batch.JobPrefix + "j/job", Value: []byte(tt.record)}}})
+				require.NoError(t, err)
+			}
+			loaded, err := batch.NewJobStore(client, 1<<20).Load(t.Context(), "j")
+			require.NoError(t, err)
+			require.Equal(t, tt.want, loaded.ConfigurationVersion)
+			require.Equal(t, tt.want, loaded.Record().ConfigurationVersion)
+		})
+	}
+}
+
 // TestDelete asserts that Delete removes all keys of a job that has more keys
 // than one write may contain.
 func TestDelete(t *testing.T) {
--- a/internal/ingress/job.go
+++ b/internal/ingress/job.go
@@ -102,6 +102,7 @@
 		c.Response.Header.Set(s.Headers.RequestID, r.id)
 	}
 	job.ID, job.Customer, job.Host, job.Route = r.id, r.customer, r.host, r.route.Name
+	job.ConfigurationVersion = r.configurationVersion
 	job.SubmittedAt = s.Clock.TimeOfDay(r.receivedAt).UnixMilli()
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
@@ -124,7 +125,7 @@
 	case err == nil:
 		c.SetStatusCode(http.StatusAccepted)
 		s.Log.Info("job: accepted", zap.String("id", r.id), zap.String("customer", r.customer), zap.Int64("step", job.Step),
-			zap.Int("items", items.Len()), zap.Int64("min-version", job.MinVersion), zap.Int64("configuration", s.View.Table().Version()), zap.Duration("took", time.Since(r.receivedAt)))
+			zap.Int("items", items.Len()), zap.Int64("min-version", job.MinVersion), zap.Int64("configuration", job.ConfigurationVersion), zap.Duration("took", time.Since(r.receivedAt)))
 	case errors.Is(err, kv.ErrRefused) && !r.mayHaveRun:
 		s.respondError(c, r, http.StatusServiceUnavailable, retryAfterBusy, err.Error())
 	case errors.Is(err, kv.ErrForbidden):
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -165,8 +165,10 @@
 	path       string
 	host       string
 	route      *routetable.Route
-	customer   string
-	deadline   time.Time
+	// configurationVersion is that of the configuration in which the route was found.
+	configurationVersion int64
+	customer             string
+	deadline             time.Time
 	// regions are those that the request may reach.
 	regions routetable.RegionSet
 	// relayed means that another entry instance relayed the request.
@@ -214,7 +216,7 @@
 		s.respondError(c, r, http.StatusNotFound, 0, "no route")
 		return
 	}
-	r.route = route
+	r.route, r.configurationVersion = route, table.Version()
 	if !s.authenticate(c, r, table, route.Public) {
 		return
 	}
--- a/internal/scheduler/commit.go
+++ b/internal/scheduler/commit.go
@@ -18,6 +18,11 @@
 func (s *Scheduler) scoreOrFinish(t *task) {
 	t.completedAt = time.Now()
 	result := batch.Result{ID: t.item.ID, Completed: true, Text: string(t.output.data), Versions: t.output.versions}
+	if t.job.singleVersion && len(t.output.versions) > 1 { // the route has required it only since
+		t.state, t.complete = taskQueued, false
+		s.startOver(t, "several weight versions", t.completedAt)
+		return
+	}
 	if s.maxOutput > 0 && result.EncodedTextLen() > s.maxOutput {
 		t.state, t.complete = taskQueued, false
 		s.startOver(t, "too long to store", t.completedAt)
--- a/internal/scheduler/dispatch.go
+++ b/internal/scheduler/dispatch.go
@@ -277,12 +277,13 @@
 		s.retainOutput(t)
 		return
 	}
+	s.applyConfiguration()
 	switch {
 	case t.complete:
 		s.scoreOrFinish(t)
 	case o == outcomeCanceled && destination != "":
 		s.startRun(t, destination)
-	case o == outcomeInvalid || t.failures >= t.job.maxAttempts:
+	case o == outcomeInvalid || t.failedTooOften():
 		s.Log.Info("item: given up", zap.String("id", t.item.ID), zap.String("job", t.job.spec.ID), zap.Stringer("outcome", o), zap.Int("failures", t.failures),
 			zap.Int("max-attempts", t.job.maxAttempts), zap.Int64("configuration", s.View.Table().Version()))
 		s.finishItem(t, batch.Result{ID: t.item.ID})
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -88,7 +88,7 @@
 			partials, err = s.Jobs.PartialResults(s.ctx, r.ID)
 		}
 		if err == nil {
-			s.post(func() { s.startJob(spec, results, partials) })
+			s.post(func() { s.startJob(loadedJob{spec: spec, results: results, partials: partials}) })
 			return
 		}
 		s.Log.Warn("job: load failed", zap.String("id", r.ID), zap.String("reason", err.Error()))
@@ -101,33 +101,28 @@
 }
 
 // startJob queues the items of a job that have no committed result, and resumes
-// their outputs from checkpoints or from an earlier job.
-func (s *Scheduler) startJob(spec *batch.Job, results []batch.Result, partials map[string]batch.PartialResult) {
-	delete(s.loading, spec.ID)
+// their outputs from checkpoints or from an earlier job. A job whose configuration is not known
+// yet waits for it.
+func (s *Scheduler) startJob(l loadedJob) {
+	spec, results, partials := l.spec, l.results, l.partials
 	if s.ended[spec.ID] || s.jobs[spec.ID] != nil {
+		delete(s.loading, spec.ID)
 		if s.jobs[spec.ID] == nil {
 			s.closeJob(spec.ID)
 		}
 		return
 	}
+	if !s.knowsConfiguration(spec) {
+		s.awaitConfiguration(l)
+		return
+	}
+	delete(s.loading, spec.ID)
 	age := max(0, spec.Record().Age(s.Clock.Now()))
 	// Due times are counted on the monotonic clock, since the time of day may jump.
 	submitted := time.Now().Add(-age)
-	j := &job{spec: spec, due: submitted.Add(defaultDue), deadline: submitted.Add(s.JobRetention), committed: len(results), maxAttempts: 1, groups: newGroupTracker(spec)}
 	table := s.View.Table()
-	route, known := table.Match(spec.Host, spec.Items[0].Path)
-	if known {
-		if route.DueAfter > 0 {
-			j.due, j.dueConfigured = submitted.Add(route.DueAfter), true
-		}
-		if route.RetryFor > 0 {
-			j.deadline = submitted.Add(route.RetryFor)
-		}
-		j.singleVersion = route.SingleVersion
-		j.maxAttempts = route.MaxAttempts
-		j.objective = route.LatencyObjective
-		j.priority = table.Priority(route, spec.Customer)
-	}
+	j := &job{spec: spec, path: spec.Items[0].Path, submittedAt: submitted, due: submitted.Add(defaultDue), deadline: submitted.Add(s.JobRetention), committed: len(results), groups: newGroupTracker(spec)}
+	s.applyRoute(j, table)
 	committed := map[string]bool{}
 	for _, r := range results {
 		committed[r.ID] = true
@@ -154,7 +149,7 @@
 	s.jobs[spec.ID] = j
 	s.Results.Open(spec, results)
 	s.Log.Info("job: begun", zap.String("id", spec.ID), zap.Int("items", len(spec.Items)), zap.Int("left", j.remaining), zap.Int("wanted-groups", spec.WantedGroups), zap.String("model", spec.Model),
-		zap.Duration("age", age), zap.Int64("configuration", table.Version()), zap.Bool("route-known", known), zap.Int("max-attempts", j.maxAttempts))
+		zap.Duration("age", age), zap.Int64("configuration", table.Version()), zap.Bool("route-known", j.routeKnown), zap.Int("max-attempts", j.maxAttempts))
 	for _, t := range j.tasks {
 		if t.complete {
 			s.scoreOrFinish(t)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -148,7 +148,13 @@
 // job is a batch job in progress.
 type job struct {
 	spec *batch.Job
-	due  time.Time
+	// path is that of the first item; the job has its route.
+	path        string
+	submittedAt time.Time
+	// routeKnown means that the current configuration has the route. The fields up to priority
+	// follow it; a job whose route is gone keeps them.
+	routeKnown bool
+	due        time.Time
 	// dueConfigured means that the due time is the route's, not the default.
 	dueConfigured bool
 	// deadline is until when items are tried; engines get it with each request.
@@ -157,7 +163,8 @@
 	// remaining counts the items without a committed result.
 	remaining     int
 	singleVersion bool
-	maxAttempts   int
+	// maxAttempts is how many failures of an item end its attempts; 0 while it is unknown.
+	maxAttempts int
 	// objective is the route's for the time to the first event; 0 if there is none.
 	objective time.Duration
 	// priority is the route's or the customer's; 0 is the highest.
@@ -199,6 +206,10 @@
 	ended   map[string]bool
 	records map[string]batch.Record
 	backlog *backlog
+	// unconfigured are the loaded jobs that wait for their configuration.
+	unconfigured []loadedJob
+	// appliedTable is the configuration that the jobs in progress follow.
+	appliedTable *routetable.Table
 	// outputs limits the outputs that are not committed yet; see outputmemory.go.
 	outputs          *memory.Budget
 	outputsCountedAt time.Time
@@ -272,6 +283,7 @@
 		}
 		lastPass = now
 		s.countOutputs(now)
+		s.applyConfiguration()
 		s.schedule(now)
 		s.commitFinished(now)
 		s.checkpoint(now)
