ingress: ask another peer if one denies a job call

While the store refuses an entry instance, it passes calls about jobs to a peer. A peer with an older configuration answered 404 or 401, and callers got that and did not try again.

Cause: relayToPeer copied each status below 500 that is no refusal, although the instance had found the route and the key in its own configuration.

Ruled out: the 404 of a read or an end, which is about the job, stays the answer.

Change: 401, 403, and 404 of a submission, count as not run, and the next peer is asked.

--- a/internal/ingress/job_test.go
+++ b/internal/ingress/job_test.go
@@ -152,6 +152,49 @@
 	}
 }
 
+// TestDenialByPeer guards against a caller that is told that its route or key does not exist since
+// a peer, which gets the call while the store is away, has an older configuration.
+func TestDenialByPeer(t *testing.T) {
+	tests := []struct {
+		name   string
+		method string
+		status int
+		want   int
+	}{
+		{"submission, route unknown", http.MethodPost, http.StatusNotFound, http.StatusAccepted},
+		{"submission, key unknown", http.MethodPost, http.StatusUnauthorized, http.StatusAccepted},
+		{"submission, not allowed", http.MethodPost, http.StatusForbidden, http.StatusAccepted},
+		{"submission, too large", http.MethodPost, http.StatusRequestEntityTooLarge, http.StatusRequestEntityTooLarge},
+		{"read, key unknown", http.MethodGet, http.StatusUnauthorized, http.StatusAccepted},
+		{"read, job unknown", http.MethodGet, http.StatusNotFound, http.StatusNotFound},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			asked := 0
+			s := newJobServer(t, kvtest.New(1, kvtest.Faults{}).Client(), false, func(rw http.ResponseWriter, r *http.Request) {
+				asked++
+				if asked == 1 {
+					respondWith(tt.status)(rw, r)
+					return
+				}
+				respondWith(http.StatusAccepted)(rw, r)
+			})
+			address := s.Directory.Peers("", func(string) bool { return true })[0]
+			s.Directory.Reset([]kv.Item{
+				{Key: directory.Prefix + "peer-0", Value: []byte(address + " zone")}, {Key: directory.Prefix + "peer-1", Value: []byte(address + " zone")},
+			})
+			c := &app.RequestContext{}
+			now := time.Now()
+			r := &callerRequest{
+				receivedAt: now, deadline: now.Add(5 * time.Second), method: tt.method, id: jobID, customer: customer,
+				requestURI: "/jobs/j", path: "/jobs/j", host: "host", route: &routetable.Route{Name: "jobs", Kind: routetable.Rollout},
+			}
+			require.True(t, s.relay(t.Context(), c, r))
+			require.Equal(t, tt.want, c.Response.StatusCode())
+		})
+	}
+}
+
 // TestRefusedResubmission guards against a job that is refused, which promises that no part of it
 // runs, although an earlier attempt at the same instance was or may have been accepted.
 func TestRefusedResubmission(t *testing.T) {
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -73,8 +73,8 @@
 }
 
 // relayToPeer forwards a request to one peer and copies its response. Server
-// errors are not copied, since another peer may succeed, nor are refusals if an earlier
-// attempt may have carried out the request.
+// errors and denials are not copied, since another peer may succeed, nor are refusals if an
+// earlier attempt may have carried out the request.
 func (s *Server) relayToPeer(ctx context.Context, c *app.RequestContext, r *callerRequest, address string, request *http1.Request) bool {
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout+s.resultWait(c))
 	defer cancel()
@@ -105,6 +105,8 @@
 	}
 	status := response.Status()
 	switch {
+	case isDenial(r, status):
+		return notRun("denied with status " + strconv.Itoa(status) + ", its configuration may be older")
 	case status == http.StatusServiceUnavailable, isRefusal(status) && r.mayHaveRun:
 		return notRun("refused with status " + strconv.Itoa(status))
 	case status >= http.StatusInternalServerError:
@@ -118,6 +120,18 @@
 	return true
 }
 
+// isDenial reports whether a status says that the configuration does not allow a request about a
+// job. This instance has found that its own does. A 404 of a read is that of the job.
+func isDenial(r *callerRequest, status int) bool {
+	switch status {
+	case http.StatusUnauthorized, http.StatusForbidden:
+		return true
+	case http.StatusNotFound:
+		return r.method == http.MethodPost
+	}
+	return false
+}
+
 // isRefusal reports whether a status promises that the request has not run and never will.
 func isRefusal(status int) bool {
 	switch status {
