scheduler: keep line feeds at the start of an event's data

Cause: each data line of an event but the first begins with a line feed. readEvents took a line for the first while the data before it was empty, which it also is after an empty line.

Ruled out: trimming at the commit or the read of results, since line feeds inside the data of an event stayed and the missing ones stood in the middle of the text; checkpoints, since the runs had none.

Change: the reader remembers whether the event has had a data line. That also limits empty data lines without end, which added nothing to the length of the event.

--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -331,6 +331,7 @@
 	version := r.version
 	id := 0
 	var data []byte
+	hasData := false // data may be empty although the event has had a line of it
 	started := false
 	for {
 		line, err := readLine(reader, func(n int) error { return r.hold(ctx, len(data)+n) })
@@ -374,16 +375,17 @@
 				r.prefill.FirstEvent(time.Now())
 			}
 			watchdog.Reset(r.eventTimeout)
-			started, data, id = false, data[:0], 0
+			started, hasData, data, id = false, false, data[:0], 0
 			continue
 		}
 		name, value, _ := bytes.Cut(line, []byte(":"))
 		value = bytes.TrimPrefix(value, []byte(" "))
 		switch {
 		case bytes.Equal(name, []byte("data")):
-			if len(data) > 0 {
+			if hasData {
 				data = append(data, '\n')
 			}
+			hasData = true
 			data = append(data, value...)
 			if len(data) > maxEventBytes {
 				r.reason = "event is longer than " + strconv.Itoa(maxEventBytes) + " bytes"
--- a/internal/scheduler/run_test.go
+++ b/internal/scheduler/run_test.go
@@ -52,6 +52,10 @@
 		{"the version falls below the minimum", 0, false, one + "x-weight-versions: 2\n" + two, false, outcomeStale, "a", []int64{5}},
 		{"the version changes for a single-version item", 0, true, one + "x-weight-versions: 6\n" + two, false, outcomeInterrupted, "", nil},
 		{"data in two lines", 0, false, "id: 1\ndata: a\ndata: b\n\n", false, outcomeComplete, "a\nb", []int64{5}},
+		{"data begins with a line feed", 0, false, "id: 1\ndata: \ndata: a\n\n" + two, false, outcomeComplete, "\na\nb", []int64{5}},
+		{"data of line feeds alone", 0, false, one + "id: 2\ndata:\ndata:\ndata\n\n", false, outcomeComplete, "a\n\n\n", []int64{5}},
+		{"data begins with a line feed after a resumption", 1, false, "id: 2\ndata:\ndata: b\n\n", false, outcomeComplete, "had\n\nb", []int64{4, 5}},
+		{"empty data", 0, false, "id: 1\ndata:\n\n" + two, false, outcomeComplete, "\nb", []int64{5}},
 		{"invalid ID", 0, false, "id: x\ndata: a\n\n", false, outcomeInterrupted, "", nil},
 	}
 	for _, tt := range tests {
@@ -132,6 +136,7 @@
 	}{
 		{"events", &endlessEvents{}, "more events than the item has tokens"},
 		{"one event", endlessLines{}, "event is longer than"},
+		{"empty lines of one event", readerFunc(func(p []byte) (int, error) { return copy(p, "data:\n"), nil }), "event is longer than"},
 		{"large events", largeEvents(), "longer than the store accepts"},
 		{"one line", readerFunc(func(p []byte) (int, error) { return copy(p, strings.Repeat("x", len(p))), nil }), "buffer full"},
 	}
