scheduler: skip comments in event streams

An engine that sends comments while there is no token, as servers do to keep connections open, had each run ended, and got no items for 0.7 s.

Cause: each line that is not empty began an event, so that a comment became an event without an id.

Ruled out: skipping all fields that have no meaning here. Garbage at the end of a stream would then pass for the end of the text.

Change: comments and the fields event and retry begin no event.

--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -381,6 +381,8 @@
 		name, value, _ := bytes.Cut(line, []byte(":"))
 		value = bytes.TrimPrefix(value, []byte(" "))
 		switch {
+		case len(name) == 0, bytes.Equal(name, []byte("event")), bytes.Equal(name, []byte("retry")):
+			continue // a comment or a field without meaning here; other lines may be garbage
 		case bytes.Equal(name, []byte("data")):
 			if hasData {
 				data = append(data, '\n')
--- a/internal/scheduler/run_test.go
+++ b/internal/scheduler/run_test.go
@@ -56,6 +56,11 @@
 		{"data of line feeds alone", 0, false, one + "id: 2\ndata:\ndata:\ndata\n\n", false, outcomeComplete, "a\n\n\n", []int64{5}},
 		{"data begins with a line feed after a resumption", 1, false, "id: 2\ndata:\ndata: b\n\n", false, outcomeComplete, "had\n\nb", []int64{4, 5}},
 		{"empty data", 0, false, "id: 1\ndata:\n\n" + two, false, outcomeComplete, "\nb", []int64{5}},
+		{"comments", 0, false, ": ping\n\n" + one + ": ping\n\n" + two + ": ping\n\n", false, outcomeComplete, "a\nb", []int64{5}},
+		{"comment within an event", 0, false, "id: 1\n: ping\ndata: a\n\n" + two, false, outcomeComplete, "a\nb", []int64{5}},
+		{"fields without meaning", 0, false, "retry: 100\n\n" + one + "event: token\n" + two, false, outcomeComplete, "a\nb", []int64{5}},
+		{"ended after garbage", 0, false, one + "garbage\n", false, outcomeInterrupted, "a", []int64{5}},
+		{"ended in the middle of an event after a comment", 0, false, one + ": ping\nid: 2\n", false, outcomeInterrupted, "a", []int64{5}},
 		{"invalid ID", 0, false, "id: x\ndata: a\n\n", false, outcomeInterrupted, "", nil},
 	}
 	for _, tt := range tests {
