ingress: tell a server's failure from a peer's refusal

Cause: a response from 400 on without a seal counted as the error of the peer itself, and any error of a peer but 500, 502 and 504 as proof that the request had not run. Servers need a seal for successes only.

Ruled out, by the log lines of the run: peers that answer 409 themselves (they logged no refusal), and peers that send a request to several servers (four relays, four runs).

Change: a response that names its server is handled like one that came directly. A peer's own error proves that the request has not run if it is a refusal or says that the peer's configuration or limits do not allow the request; else it leaves it open.

Why it works: peers set the server's name on responses of servers alone, and remove it from what servers send; the build in production does so, too.

--- a/internal/ingress/peer.go
+++ b/internal/ingress/peer.go
@@ -146,7 +146,7 @@
 		response.Abort()
 		return failed("response to another request")
 	}
-	if response.Header(s.Headers.Signature) == "" && status >= http.StatusBadRequest {
+	if response.Header(serverHeader) == "" && response.Header(s.Headers.Signature) == "" && status >= http.StatusBadRequest {
 		return s.handlePeerError(response, state, address, failed)
 	}
 	if response.Header(s.Headers.Leaving) == pool.LeavingValue {
@@ -178,15 +178,14 @@
 	return request
 }
 
-// handlePeerError handles an error of the peer itself. Only 502 and 504 leave open whether
-// a server ran the request.
+// handlePeerError handles an error of the peer itself, whose response names no server. It leaves
+// open whether a server ran the request unless the peer refused or denied it.
 func (s *Server) handlePeerError(response *http1.Response, state *forwardState, address string, failed func(string) attemptResult) attemptResult {
 	reason := "refused by a peer with status " + strconv.Itoa(response.Status())
 	if err := response.Drain(streamBufferBytes); err != nil {
 		response.Abort()
 	}
-	switch response.Status() {
-	case http.StatusBadGateway, http.StatusGatewayTimeout, http.StatusInternalServerError:
+	if !isRefusal(response.Status()) && !isDeniedByPeer(response.Status()) {
 		return failed(reason)
 	}
 	if response.Header(noPathHeader) != "" {
@@ -202,3 +201,14 @@
 	}
 	return attemptNotRun
 }
+
+// isDeniedByPeer reports whether a peer responds with a status before it sends a request to any
+// server, since its configuration or its limits do not allow the request.
+func isDeniedByPeer(status int) bool {
+	switch status {
+	case http.StatusBadRequest, http.StatusUnauthorized, http.StatusForbidden, http.StatusNotFound,
+		http.StatusRequestEntityTooLarge, http.StatusRequestURITooLong, http.StatusRequestHeaderFieldsTooLarge:
+		return true
+	}
+	return false
+}
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -119,6 +119,7 @@
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(c.t, err)
 	c.t.Cleanup(func() { _ = l.Close() })
+	c.network.AddServer(l.Addr().String())
 	go func() {
 		for {
 			conn, err := l.Accept()
--- a/internal/node/refusal_test.go
+++ b/internal/node/refusal_test.go
@@ -6,24 +6,39 @@
 	"io"
 	"net"
 	"net/http"
+	"path"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 
 	"cactusspoke/platform"
+	"cactusspoke/platform/standin"
+
+	"github.com/stretchr/testify/require"
 )
 
-// literalServer is a backend server that gives the same response to each request.
+// literalServer is a backend server whose responses have a given head.
 type literalServer struct{ requests atomic.Int64 }
 
 // startLiteralServer registers a server that responds with a head, to which the request ID is
 // added, and an empty body.
 func (c *cluster) startLiteralServer(id, service string, models map[string]int64, head string) *literalServer {
 	s := &literalServer{}
-	c.serveConnections(id, service, models, func(conn net.Conn) { s.serve(conn, head) })
+	c.serveConnections(id, service, models, func(conn net.Conn) { s.serve(conn, func(*http.Request) string { return head }) })
+	return s
+}
+
+// startStatusServer registers a server that responds with the status that the path ends with.
+func (c *cluster) startStatusServer(id, service string) *literalServer {
+	s := &literalServer{}
+	c.serveConnections(id, service, nil, func(conn net.Conn) {
+		s.serve(conn, func(r *http.Request) string { return "HTTP/1.1 " + path.Base(r.URL.Path) + " Failure\r\n" })
+	})
 	return s
 }
 
-func (s *literalServer) serve(conn net.Conn, head string) {
+func (s *literalServer) serve(conn net.Conn, head func(*http.Request) string) {
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
 	for {
@@ -33,7 +48,7 @@
 		}
 		_, _ = io.Copy(io.Discard, r.Body)
 		s.requests.Add(1)
-		_, err = fmt.Fprintf(conn, "%s%s: %s\r\nContent-Length: 0\r\n\r\n", head, platform.Headers().RequestID, r.Header.Get(platform.Headers().RequestID))
+		_, err = fmt.Fprintf(conn, "%s%s: %s\r\nContent-Length: 0\r\n\r\n", head(r), platform.Headers().RequestID, r.Header.Get(platform.Headers().RequestID))
 		if err != nil {
 			return
 		}
@@ -71,3 +86,40 @@
 		})
 	}
 }
+
+// TestServerFailuresThroughPeers guards against a server's failure that is taken for a peer's
+// refusal since it lacks the seal: the request then runs at each peer and is refused although it
+// ran (review/11).
+func TestServerFailuresThroughPeers(t *testing.T) {
+	t.Parallel()
+	for _, route := range []string{"unsafe", "safe", "stream"} {
+		t.Run(route, func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t, 3, 1)
+			c.putConfig(1, nil)
+			c.waitReady()
+			s := c.startStatusServer("literal-0", "literal")
+			c.putConfig(2, routeOverrides{route: {"Service": "literal"}})
+			send := func(p *process, status int, id string) int {
+				return c.send(p, http.MethodPost, fmt.Sprintf("/%s/%d", route, status), id, key, []byte("body"), nil).status
+			}
+			for _, p := range c.entries {
+				c.eventually(func() bool { return send(p, http.StatusConflict, "direct") == http.StatusConflict })
+			}
+			c.network.SetCut(c.entries[0].settings.Name, standin.Reset)
+			c.eventually(func() bool {
+				send(c.entries[0], http.StatusConflict, "cut")
+				return strings.Contains(c.entries[0].out.text(), "request: relay")
+			})
+			for _, status := range []int{http.StatusBadRequest, http.StatusForbidden, http.StatusNotFound, http.StatusConflict, http.StatusUnprocessableEntity, http.StatusInternalServerError} {
+				most := int64(1)
+				if route == "safe" && status == http.StatusInternalServerError {
+					most = 2 // MaxAttempts
+				}
+				before := s.requests.Load()
+				require.Equal(t, status, send(c.entries[0], status, "relayed-"+strconv.Itoa(status)))
+				require.LessOrEqual(t, s.requests.Load()-before, most, "runs of %d", status)
+			}
+		})
+	}
+}
