ingress: fail streams whose server has not sealed them

A stream that a server answered 200 without its seal was passed on as a success, directly and through peers (MIXED). Other responses were checked.

Cause: streams take a path of their own after the head of the response, which had no check.

Ruled out: buffering such a response to check it with the others, which would hold a stream without end until the deadline.

Change: such a stream is a failed attempt: 502, or another attempt if it may be resumed.

Result: one new case of TestUnsealedRefusal and one of TestResponsesOfPeers failed before; all pass, as do the tests of streams in internal/node (1 run, -race).

--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -59,6 +59,8 @@
 	maxCrashDelay = 2 * time.Second
 	// streamBufferBytes is the size of the copy buffer of a forwarded stream.
 	streamBufferBytes = 4096
+	// reasonUnsealed is why an attempt failed whose server did not seal its success.
+	reasonUnsealed = "response without a seal"
 )
 
 // forwardState is the state of a request across its attempts.
@@ -322,6 +324,10 @@
 	}
 	s.meterOnce(r, state, sentAt)
 	if r.route.Kind == routetable.Streaming && response.Status() == http.StatusOK {
+		if s.abortUnsealed(response, state) {
+			handle.Release(pool.Failed)
+			return attemptFailed
+		}
 		if r.route.Resumable && r.resumesAt == nil {
 			s.Streams.Begin(r.id, streamorigin.Origin{Service: server.Service, Software: server.Software}, r.route.Services())
 		}
@@ -453,7 +459,7 @@
 	status := response.Status()
 	if status < http.StatusBadRequest && response.Header(s.Headers.Signature) == "" {
 		release(pool.Failed)
-		state.reason = "response without a seal"
+		state.reason = reasonUnsealed
 		return attemptFailed
 	}
 	if isRefusal(status) && response.Header(s.Headers.Signature) == "" {
@@ -560,6 +566,17 @@
 	}
 }
 
+// abortUnsealed closes the connection of a stream whose server has not sealed it, so that it does
+// not count as a success. It reports whether it did.
+func (s *Server) abortUnsealed(response *http1.Response, state *forwardState) bool {
+	if response.Header(s.Headers.Signature) != "" {
+		return false
+	}
+	response.Abort()
+	state.reason = reasonUnsealed
+	return true
+}
+
 // forwardStream sends events to the caller as they arrive. If the server's stream
 // is incomplete, the caller's connection is closed without the final chunk, so
 // that the caller can tell. sender names the server or peer; release releases it, and broken is
--- a/internal/ingress/peer.go
+++ b/internal/ingress/peer.go
@@ -153,6 +153,9 @@
 		s.Pool.MarkLeaving(response.Header(serverHeader))
 	}
 	if r.route.Kind == routetable.Streaming && status == http.StatusOK {
+		if s.abortUnsealed(response, state) {
+			return failed(state.reason)
+		}
 		return s.forwardStream(ctx, c, r, "peer "+address, func(pool.Outcome) {}, response, func() {})
 	}
 	result := s.forwardBuffered(ctx, c, r, state, attempts, "peer "+address, func(pool.Outcome) {}, response)
--- a/internal/ingress/peer_test.go
+++ b/internal/ingress/peer_test.go
@@ -16,7 +16,7 @@
 
 // TestResponsesOfPeers guards against a request that runs again or is refused, although a server
 // may have run it, since the server's response is taken for the peer's or the peer's for a
-// refusal. All responses lack a seal.
+// refusal, and against a success that no server has sealed. All responses lack a seal.
 func TestResponsesOfPeers(t *testing.T) {
 	tests := []struct {
 		status int
@@ -43,32 +43,35 @@
 		{http.StatusBadGateway, true, attemptDone},
 		{http.StatusServiceUnavailable, true, attemptFailed}, // from peers of earlier versions
 		{http.StatusFound, true, attemptFailed},
+		{http.StatusOK, true, attemptFailed},
 	}
-	for _, tt := range tests {
-		t.Run(strconv.Itoa(tt.status)+"/"+strconv.FormatBool(tt.byServer), func(t *testing.T) {
-			s := newJobServer(t, nil, true, func(rw http.ResponseWriter, r *http.Request) {
-				if tt.byServer {
-					rw.Header().Set(serverHeader, "server-1")
+	for _, kind := range []routetable.Kind{routetable.Unsafe, routetable.Streaming} {
+		for _, tt := range tests {
+			t.Run(string(kind)+"/"+strconv.Itoa(tt.status)+"/"+strconv.FormatBool(tt.byServer), func(t *testing.T) {
+				s := newJobServer(t, nil, true, func(rw http.ResponseWriter, r *http.Request) {
+					if tt.byServer {
+						rw.Header().Set(serverHeader, "server-1")
+					}
+					respondWith(tt.status)(rw, r)
+				})
+				s.Headers.Signature, s.Headers.DeadlineMS = "Seal", "Deadline"
+				address := s.Directory.Peers("", func(string) bool { return true })[0]
+				s.Directory.Reset([]kv.Item{{Key: directory.Prefix + "peer", Value: []byte(address + " zone")}})
+				c := &app.RequestContext{}
+				c.Request.Header.Set(requestIDHeader, jobID)
+				now := time.Now()
+				r := &callerRequest{
+					receivedAt: now, deadline: now.Add(5 * time.Second), method: http.MethodPost, id: jobID, maxAttempts: 2,
+					requestURI: "/book/1", path: "/book/1", host: "host", route: &routetable.Route{Name: "book", Kind: kind, MaxAttempts: 2},
+				}
+				state := &forwardState{}
+				result := s.forwardToPeer(t.Context(), c, r, state, address, true)
+				require.Equal(t, tt.want, result, state.reason)
+				require.Equal(t, tt.want == attemptFailed, r.mayHaveRun)
+				if tt.want == attemptDone {
+					require.Equal(t, tt.status, c.Response.StatusCode())
 				}
-				respondWith(tt.status)(rw, r)
 			})
-			s.Headers.Signature, s.Headers.DeadlineMS = "Seal", "Deadline"
-			address := s.Directory.Peers("", func(string) bool { return true })[0]
-			s.Directory.Reset([]kv.Item{{Key: directory.Prefix + "peer", Value: []byte(address + " zone")}})
-			c := &app.RequestContext{}
-			c.Request.Header.Set(requestIDHeader, jobID)
-			now := time.Now()
-			r := &callerRequest{
-				receivedAt: now, deadline: now.Add(5 * time.Second), method: http.MethodPost, id: jobID, maxAttempts: 2,
-				requestURI: "/book/1", path: "/book/1", host: "host", route: &routetable.Route{Name: "book", Kind: routetable.Unsafe, MaxAttempts: 2},
-			}
-			state := &forwardState{}
-			result := s.forwardToPeer(t.Context(), c, r, state, address, true)
-			require.Equal(t, tt.want, result, state.reason)
-			require.Equal(t, tt.want == attemptFailed, r.mayHaveRun)
-			if tt.want == attemptDone {
-				require.Equal(t, tt.status, c.Response.StatusCode())
-			}
-		})
+		}
 	}
 }
--- a/internal/node/refusal_test.go
+++ b/internal/node/refusal_test.go
@@ -56,7 +56,8 @@
 }
 
 // TestUnsealedRefusal guards against a refusal, which promises that the request has not run,
-// that comes from a server which does not say so itself.
+// that comes from a server which does not say so itself, and against a success that it did not
+// seal.
 func TestUnsealedRefusal(t *testing.T) {
 	t.Parallel()
 	h := platform.Headers()
@@ -69,6 +70,7 @@
 		{"limited", "HTTP/1.1 429 Too Many Requests\r\n", http.StatusBadGateway},
 		{"slow caller", "HTTP/1.1 408 Request Timeout\r\n", http.StatusBadGateway},
 		{"not run", "HTTP/1.1 503 Service Unavailable\r\n" + h.NotRun + ": 1\r\n", http.StatusServiceUnavailable},
+		{"success without a seal", "HTTP/1.1 200 OK\r\n", http.StatusBadGateway},
 		{"sealed by the server", "HTTP/1.1 503 Service Unavailable\r\n" + h.Signature + ": s\r\n", http.StatusServiceUnavailable},
 	}
 	for _, tt := range tests {
@@ -78,11 +80,14 @@
 			c.putConfig(1, nil)
 			c.waitReady()
 			s := c.startLiteralServer("literal-0", "literal", nil, tt.head)
-			c.putConfig(2, routeOverrides{"unsafe": {"Service": "literal"}})
-			c.eventually(func() bool {
-				r := c.send(c.entries[0], http.MethodPost, "/unsafe/x", "u", key, nil, nil)
-				return s.requests.Load() > 0 && r.status == tt.want
-			})
+			c.putConfig(2, routeOverrides{"unsafe": {"Service": "literal"}, "stream": {"Service": "literal"}})
+			for _, path := range []string{"/unsafe/x", "/stream/x"} {
+				before := s.requests.Load()
+				c.eventually(func() bool {
+					r := c.send(c.entries[0], http.MethodPost, path, "u", key, nil, nil)
+					return s.requests.Load() > before && r.status == tt.want
+				})
+			}
 		})
 	}
 }
