--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -105,7 +105,7 @@
 	}
 	status := response.Status()
 	switch {
-	case isDenial(r, status):
+	case deniesJobCall(r, status):
 		return notRun("denied with status " + strconv.Itoa(status) + ", its configuration may be older")
 	case status == http.StatusServiceUnavailable, isRefusal(status) && r.mayHaveRun:
 		return notRun("refused with status " + strconv.Itoa(status))
@@ -120,9 +120,9 @@
 	return true
 }
 
-// isDenial reports whether a status says that the configuration does not allow a request about a
+// deniesJobCall reports whether a status says that the configuration does not allow a request about a
 // job. This instance has found that its own does. A 404 of a read is that of the job.
-func isDenial(r *callerRequest, status int) bool {
+func deniesJobCall(r *callerRequest, status int) bool {
 	switch status {
 	case http.StatusUnauthorized, http.StatusForbidden:
 		return true
--- a/internal/scheduler/route.go
+++ b/internal/scheduler/route.go
@@ -1,8 +1,6 @@
 package scheduler
 
 import (
-	"time"
-
 	"cactusspoke/internal/batch"
 	"cactusspoke/internal/routetable"
 
@@ -14,7 +12,6 @@
 	spec     *batch.Job
 	results  []batch.Result
 	partials map[string]batch.PartialResult
-	loadedAt time.Time
 	// waits means that its wait for a configuration was logged.
 	waits bool
 }
